--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+PYTHON ?= python3.11
+VENV := .venv
+RUN := PYTHONPATH=src $(VENV)/bin/python
+
+$(VENV)/.done: requirements.txt requirements-dev.txt
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	touch $@
+
+.PHONY: setup demo test check fuzz measure capacity binary clean
+
+setup: $(VENV)/.done
+
+demo: setup
+	$(RUN) -m rhubarbspan demo
+
+check: setup
+	$(VENV)/bin/ruff format --check src tests
+	$(VENV)/bin/ruff check src tests
+	cd src && ../$(VENV)/bin/python -m mypy --config-file ../pyproject.toml rhubarbspan
+
+test: check
+	$(RUN) -m pytest
+
+clean:
+	rm -rf $(VENV) build dist
--- /dev/null
+++ b/src/rhubarbspan/checking.py
@@ -0,0 +1,343 @@
+"""Checks a document as a whole and builds the typed configuration from it."""
+
+import ipaddress
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TypeVar
+
+from .configuration import (
+    Block,
+    ClientAccount,
+    Configuration,
+    DataCentre,
+    Drain,
+    DrainKind,
+    Link,
+    Pool,
+    Route,
+    RouteKind,
+    Shift,
+)
+from .document import Document, Section
+
+KEY_HASH_LENGTH = 64
+MAX_RATE_PER_S = 1_000_000.0
+MAX_TIMEOUT_S = 3600.0
+MAX_NAME_LENGTH = 64
+NAME_CHARACTERS = set("abcdefghijklmnopqrstuvwxyz0123456789-_.")
+
+T = TypeVar("T")
+E = TypeVar("E", bound=Enum)
+
+
+@dataclass(frozen=True, slots=True)
+class Option:
+    """One key of a section: its unit, default and accepted range, for the docs."""
+
+    key: str
+    accepted: str
+    default: str | None
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """One error in a document."""
+
+    section: str
+    key: str
+    value: str
+    accepted: str
+
+    def describe(self, file: str) -> str:
+        """Write the problem as one line."""
+        shown = "missing" if self.value == "" else repr(self.value)
+        return (
+            f"{file}: [{self.section}] {self.key}: {shown}; accepted: {self.accepted}"
+        )
+
+
+OPTIONS: dict[str, tuple[Option, ...]] = {
+    "route": (
+        Option("pool", "the name of a pool", None),
+        Option("path_prefix", "a path that starts with /, except /-/", None),
+        Option("kind", "idempotent, non_idempotent, at_most_once", None),
+        Option("open", "yes or no", "no"),
+        Option("timeout_s", "0.01 to 3600 seconds", "10"),
+        Option("max_config_age_s", "0 to 86400 seconds, 0 for no bound", "0"),
+        Option("availability_objective", "0 to 0.99999", "0.999"),
+        Option("latency_objective_s", "0.001 to 3600 seconds", "1"),
+    ),
+    "pool": (
+        Option("slots_per_server", "1 to 10000", "3"),
+        Option("connections_per_server", "1 to 100000", "350"),
+        Option("max_queued", "0 to 100000", "200"),
+        Option("ramp_s", "0 to 3600 seconds", "10"),
+    ),
+    "client_account": (
+        Option("rate_per_s", "0 to 1000000 requests per second", None),
+        Option("burst", "1 to 1000000 requests", None),
+        Option("key_hashes", "SHA-256 hashes in hexadecimal, separated by commas", ""),
+    ),
+    "data_centre": (
+        Option("region", "a name", None),
+        Option("seats", "0 to 1000", "1"),
+        Option("client_blocks", "IP networks separated by commas", ""),
+    ),
+    "link": (
+        Option("regions", "two regions separated by a comma", None),
+        Option("cap_mbit_per_s", "0.001 to 1000000 Mbit per second", None),
+    ),
+    "shift": (
+        Option("pool", "the name of a pool", None),
+        Option("from_region", "a region", None),
+        Option("to_region", "another region", None),
+        Option("cap_requests_per_s", "0 to 1000000 requests per second", None),
+        Option("pace_requests_per_s2", "0.001 to 1000000 requests per second²", "1"),
+        Option("fraction", "0 to 1", "1"),
+    ),
+    "drain": (
+        Option("kind", "instance, backend_server, data_centre", None),
+        Option("target", "a name", None),
+    ),
+}
+
+
+@dataclass(slots=True)
+class SectionReader:
+    """Reads typed values from one section and collects the problems."""
+
+    title: str
+    body: Section
+    problems: list[Problem]
+    options: dict[str, Option] = field(default_factory=dict)
+
+    def text(self, key: str) -> str:
+        """Read a value or its default; record a problem if neither exists."""
+        option = self.options[key]
+        value = self.body.get(key, option.default)
+        if value is None:
+            self.reject(key, "")
+            return ""
+        return value.strip()
+
+    def reject(self, key: str, value: str, accepted: str | None = None) -> None:
+        """Record that a value is not accepted."""
+        shown = accepted or self.options[key].accepted
+        self.problems.append(Problem(self.title, key, value, shown))
+
+    def number(self, key: str, low: float, high: float) -> float:
+        """Read a number in a closed range."""
+        return self.parsed(key, float, low, high)
+
+    def integer(self, key: str, low: int, high: int) -> int:
+        """Read a whole number in a closed range."""
+        return int(self.parsed(key, int, low, high))
+
+    def parsed(
+        self, key: str, parse: Callable[[str], float], low: float, high: float
+    ) -> float:
+        """Read a value with a parser and check its range."""
+        text = self.text(key)
+        if not text:
+            return low
+        try:
+            value = parse(text)
+        except ValueError:
+            self.reject(key, text)
+            return low
+        if not low <= value <= high:
+            self.reject(key, text)
+            return low
+        return value
+
+    def choice(self, key: str, kind: type[E]) -> E:
+        """Read one of the values of an enumeration."""
+        text = self.text(key)
+        for member in kind:
+            if member.value == text:
+                return member
+        if text:
+            self.reject(key, text)
+        return next(iter(kind))
+
+    def flag(self, key: str) -> bool:
+        """Read yes or no."""
+        text = self.text(key)
+        if text not in ("yes", "no"):
+            self.reject(key, text)
+        return text == "yes"
+
+    def items(self, key: str) -> tuple[str, ...]:
+        """Read a list separated by commas."""
+        parts = (part.strip() for part in self.text(key).split(","))
+        return tuple(part for part in parts if part)
+
+    def reference(self, key: str, known: set[str], kind: str) -> str:
+        """Read the name of something that must exist."""
+        text = self.text(key)
+        if text and text not in known:
+            self.reject(key, text, f"the name of an existing {kind}")
+        return text
+
+
+def check_document(
+    document: Document, revision: int = 0
+) -> tuple[Configuration, list[Problem]]:
+    """Check a whole document and build the configuration.
+
+    Args:
+        document: Sections titled ``KIND NAME``.
+        revision: The revision that the configuration will carry.
+
+    Returns:
+        The configuration, usable only if the list of problems is empty.
+    """
+    problems: list[Problem] = []
+    readers = _open_sections(document, problems)
+    configuration = Configuration(revision)
+    _read_places(configuration, readers)
+    _read_accounts(configuration, readers, problems)
+    _read_tables(configuration, readers)
+    _read_planned(configuration, readers)
+    _check_paths(configuration, problems)
+    return configuration, problems
+
+
+def _open_sections(
+    document: Document, problems: list[Problem]
+) -> dict[str, dict[str, SectionReader]]:
+    readers: dict[str, dict[str, SectionReader]] = {kind: {} for kind in OPTIONS}
+    for title, body in document.items():
+        kind, _, name = title.partition(" ")
+        if kind not in OPTIONS:
+            accepted = "a section of " + ", ".join(sorted(OPTIONS))
+            problems.append(Problem(title, "section", kind, accepted))
+            continue
+        if not name or len(name) > MAX_NAME_LENGTH or set(name) - NAME_CHARACTERS:
+            accepted = "1 to 64 of a-z 0-9 - _ ."
+            problems.append(Problem(title, "name", name, accepted))
+        options = {option.key: option for option in OPTIONS[kind]}
+        for key in body:
+            if key not in options:
+                accepted = "one of " + ", ".join(options)
+                problems.append(Problem(title, key, body[key], accepted))
+        readers[kind][name] = SectionReader(title, body, problems, options)
+    return readers
+
+
+def _read_places(
+    configuration: Configuration, readers: dict[str, dict[str, SectionReader]]
+) -> None:
+    for name, reader in readers["data_centre"].items():
+        blocks = reader.items("client_blocks")
+        place = DataCentre(
+            name, reader.text("region"), reader.integer("seats", 0, 1000), blocks
+        )
+        configuration.data_centres[name] = place
+        for text in blocks:
+            block = _parse_block(text)
+            if block is None:
+                reader.reject("client_blocks", text)
+            else:
+                configuration.blocks.append((block, name))
+    regions = set(configuration.regions())
+    for name, reader in readers["link"].items():
+        ends = reader.items("regions")
+        if len(set(ends)) != 2 or not set(ends) <= regions:
+            reader.reject("regions", ", ".join(ends), "two existing regions")
+            continue
+        cap = reader.number("cap_mbit_per_s", 0.001, 1_000_000)
+        configuration.links[name] = Link(name, (ends[0], ends[1]), cap)
+
+
+def _parse_block(text: str) -> Block | None:
+    try:
+        return ipaddress.ip_network(text)
+    except ValueError:
+        return None
+
+
+def _read_accounts(
+    configuration: Configuration,
+    readers: dict[str, dict[str, SectionReader]],
+    problems: list[Problem],
+) -> None:
+    for name, reader in readers["client_account"].items():
+        rate = reader.number("rate_per_s", 0.0, MAX_RATE_PER_S)
+        burst = reader.integer("burst", 1, int(MAX_RATE_PER_S))
+        hashes = reader.items("key_hashes")
+        configuration.client_accounts[name] = ClientAccount(name, rate, burst, hashes)
+        for value in hashes:
+            if len(value) != KEY_HASH_LENGTH or set(value) - set("0123456789abcdef"):
+                reader.reject("key_hashes", value)
+            owner = configuration.account_by_key_hash.setdefault(value, name)
+            if owner != name:
+                accepted = f"a hash that client account {owner} does not hold"
+                problems.append(Problem(reader.title, "key_hashes", value, accepted))
+
+
+def _read_tables(
+    configuration: Configuration, readers: dict[str, dict[str, SectionReader]]
+) -> None:
+    for name, reader in readers["pool"].items():
+        configuration.pools[name] = Pool(
+            name,
+            reader.integer("slots_per_server", 1, 10_000),
+            reader.integer("connections_per_server", 1, 100_000),
+            reader.integer("max_queued", 0, 100_000),
+            reader.number("ramp_s", 0, 3600),
+        )
+    for name, reader in readers["route"].items():
+        configuration.routes[name] = Route(
+            name,
+            reader.reference("pool", set(configuration.pools), "pool"),
+            reader.text("path_prefix"),
+            reader.choice("kind", RouteKind),
+            reader.flag("open"),
+            reader.number("timeout_s", 0.01, MAX_TIMEOUT_S),
+            reader.number("max_config_age_s", 0, 86_400),
+            reader.number("availability_objective", 0, 0.99999),
+            reader.number("latency_objective_s", 0.001, MAX_TIMEOUT_S),
+        )
+
+
+def _read_planned(
+    configuration: Configuration, readers: dict[str, dict[str, SectionReader]]
+) -> None:
+    regions = set(configuration.regions())
+    for name, reader in readers["shift"].items():
+        shift = Shift(
+            name,
+            reader.reference("pool", set(configuration.pools), "pool"),
+            reader.reference("from_region", regions, "region"),
+            reader.reference("to_region", regions, "region"),
+            reader.number("cap_requests_per_s", 0, MAX_RATE_PER_S),
+            reader.number("pace_requests_per_s2", 0.001, MAX_RATE_PER_S),
+            reader.number("fraction", 0, 1),
+        )
+        if shift.from_region == shift.to_region:
+            reader.reject("to_region", shift.to_region)
+        configuration.shifts[name] = shift
+    for name, reader in readers["drain"].items():
+        kind = reader.choice("kind", DrainKind)
+        target = reader.text("target")
+        if kind is DrainKind.DATA_CENTRE and target not in configuration.data_centres:
+            reader.reject("target", target, "the name of an existing data centre")
+        if kind is DrainKind.INSTANCE and target not in configuration.seats():
+            reader.reject("target", target, "the name of an existing seat")
+        configuration.drains[name] = Drain(name, kind, target)
+
+
+def _check_paths(configuration: Configuration, problems: list[Problem]) -> None:
+    owners: dict[str, str] = {}
+    for route in configuration.routes.values():
+        prefix = route.path_prefix
+        title = f"route {route.name}"
+        if not prefix.startswith("/") or prefix == "/-" or prefix.startswith("/-/"):
+            accepted = "a path that starts with /, except /-/"
+            problems.append(Problem(title, "path_prefix", prefix, accepted))
+        other = owners.setdefault(prefix.rstrip("/"), route.name)
+        if other != route.name:
+            accepted = f"a path that route {other} does not have"
+            problems.append(Problem(title, "path_prefix", prefix, accepted))
--- /dev/null
+++ b/src/rhubarbspan/configuration.py
@@ -0,0 +1,184 @@
+"""The typed configuration: routes, pools, client accounts, places and planned work."""
+
+import ipaddress
+from dataclasses import dataclass, field
+from enum import Enum
+
+DEFAULT_MAX_CONFIG_AGE_S = 0.0
+
+
+class RouteKind(Enum):
+    """How often a request of a route may run."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    AT_MOST_ONCE = "at_most_once"
+
+
+class DrainKind(Enum):
+    """What an operator takes out of service."""
+
+    INSTANCE = "instance"
+    BACKEND_SERVER = "backend_server"
+    DATA_CENTRE = "data_centre"
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """One row of the operators' table of routes."""
+
+    name: str
+    pool: str
+    path_prefix: str
+    kind: RouteKind
+    is_open: bool
+    timeout_s: float
+    max_config_age_s: float
+    availability_objective: float
+    latency_objective_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Pool:
+    """One row of the operators' table of pools."""
+
+    name: str
+    n_slots_per_server: int
+    n_connections_per_server: int
+    n_max_queued: int
+    ramp_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ClientAccount:
+    """A tenant, with its limit over the whole fleet and the hashes of its keys."""
+
+    name: str
+    rate_per_s: float
+    burst: int
+    key_hashes: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class DataCentre:
+    """A place with entry instances and backend servers of its own."""
+
+    name: str
+    region: str
+    n_seats: int
+    client_blocks: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Link:
+    """The capacity between two regions, in each direction."""
+
+    name: str
+    regions: tuple[str, str]
+    cap_mbit_per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Shift:
+    """A planned move of part of a pool's requests from one region to another."""
+
+    name: str
+    pool: str
+    from_region: str
+    to_region: str
+    cap_requests_per_s: float
+    pace_requests_per_s2: float
+    fraction: float
+
+
+@dataclass(frozen=True, slots=True)
+class Drain:
+    """A planned removal of something from service."""
+
+    name: str
+    kind: DrainKind
+    target: str
+
+
+Block = ipaddress.IPv4Network | ipaddress.IPv6Network
+
+
+@dataclass(slots=True)
+class Configuration:
+    """A whole checked configuration at one revision."""
+
+    revision: int = 0
+    routes: dict[str, Route] = field(default_factory=dict)
+    pools: dict[str, Pool] = field(default_factory=dict)
+    client_accounts: dict[str, ClientAccount] = field(default_factory=dict)
+    data_centres: dict[str, DataCentre] = field(default_factory=dict)
+    links: dict[str, Link] = field(default_factory=dict)
+    shifts: dict[str, Shift] = field(default_factory=dict)
+    drains: dict[str, Drain] = field(default_factory=dict)
+    account_by_key_hash: dict[str, str] = field(default_factory=dict)
+    blocks: list[tuple[Block, str]] = field(default_factory=list)
+
+    def seats(self) -> list[str]:
+        """List the names of the seats that entry instances can occupy.
+
+        Example:
+            >>> place = DataCentre("centro-a", "centro", 2, ())
+            >>> Configuration(data_centres={"centro-a": place}).seats()
+            ['centro-a-1', 'centro-a-2']
+        """
+        return [
+            f"{place.name}-{number}"
+            for place in self.data_centres.values()
+            for number in range(1, place.n_seats + 1)
+        ]
+
+    def region_of(self, data_centre: str) -> str:
+        """Return the region of a data centre, or an empty string if unknown."""
+        place = self.data_centres.get(data_centre)
+        return place.region if place else ""
+
+    def regions(self) -> list[str]:
+        """List the regions in the order of the data centres."""
+        return list(dict.fromkeys(p.region for p in self.data_centres.values()))
+
+
+def match_route(configuration: Configuration, path: str) -> Route | None:
+    """Find the route with the longest prefix of a path, at segment boundaries.
+
+    Example:
+        >>> route = Route("r", "p", "/a", RouteKind.IDEMPOTENT, True, 1, 0, 0.99, 1)
+        >>> found = match_route(Configuration(routes={"r": route}), "/a/b")
+        >>> found.name if found else None
+        'r'
+        >>> match_route(Configuration(routes={"r": route}), "/ab") is None
+        True
+    """
+    best: Route | None = None
+    for route in configuration.routes.values():
+        prefix = route.path_prefix.rstrip("/")
+        if path != prefix and not path.startswith(prefix + "/"):
+            continue
+        if best is None or len(prefix) > len(best.path_prefix.rstrip("/")):
+            best = route
+    return best
+
+
+def place_of_block(configuration: Configuration, address: str) -> str | None:
+    """Find the data centre whose client block holds an address or a block.
+
+    Returns:
+        The name of the data centre with the longest matching block, or None.
+    """
+    try:
+        wanted = ipaddress.ip_network(address, strict=False)
+    except ValueError:
+        return None
+    best: tuple[int, str] | None = None
+    for block, name in configuration.blocks:
+        if block.version != wanted.version or block.prefixlen > wanted.prefixlen:
+            continue
+        if wanted.network_address not in block:
+            continue
+        if best is None or block.prefixlen > best[0]:
+            best = (block.prefixlen, name)
+    return best[1] if best else None
--- /dev/null
+++ b/src/rhubarbspan/systems/__init__.py
@@ -0,0 +1,1 @@
+"""Systems: one decision each, run over the tables in every tick, free of I/O."""
--- /dev/null
+++ b/src/rhubarbspan/systems/bucketing.py
@@ -0,0 +1,147 @@
+"""Token buckets: minting, capacity and demand, as pure functions of one row."""
+
+import math
+
+import xxhash
+
+from ..tables.buckets import BucketRow
+
+DEMAND_HALF_LIFE_S = 2.0
+MAX_CLOCK_DRIFT = 0.02
+DRIFT_MARGIN_S = 0.1
+TOKEN_TERM_S = 1.0
+
+
+def lender_term_s(term_s: float) -> float:
+    """Return how long the granting side waits for a term granted to another clock.
+
+    Example:
+        >>> round(lender_term_s(1.0), 2)
+        1.12
+    """
+    return term_s * (1 + MAX_CLOCK_DRIFT) + DRIFT_MARGIN_S
+
+
+def mint(bucket: BucketRow, now_s: float) -> None:
+    """Mint tokens up to ``now_s`` and drop shares, loans and debts that lapsed."""
+    for share in list(bucket.shares.values()):
+        end_s = min(now_s, share.until_s)
+        factor = ramp_factor(bucket, bucket.minted_s)
+        bucket.n_tokens += max(0.0, end_s - bucket.minted_s) * share.rate_per_s * factor
+        if share.until_s <= now_s:
+            del bucket.shares[share.home]
+    for loan in list(bucket.loans.values()):
+        if loan.until_s <= now_s:
+            del bucket.loans[loan.loan_id]
+    bucket.minted_s = max(bucket.minted_s, now_s)
+    bucket.n_tokens = min(bucket.n_tokens, capacity(bucket))
+
+
+def ramp_factor(bucket: BucketRow, now_s: float) -> float:
+    """Return the part of the rate that is in force while a shift picks up pace."""
+    if bucket.ramp_s <= 0:
+        return 1.0
+    return min(1.0, max(0.0, (now_s - bucket.ramp_start_s) / bucket.ramp_s))
+
+
+def n_lent(bucket: BucketRow) -> int:
+    """Count tokens on loan that may still be spent by others."""
+    return sum(loan.n_open for loan in bucket.loans.values())
+
+
+def capacity(bucket: BucketRow) -> float:
+    """Return how many tokens the bucket may hold now."""
+    burst = sum(share.burst for share in bucket.shares.values())
+    return max(0.0, burst - n_lent(bucket))
+
+
+def lendable(bucket: BucketRow, now_s: float) -> int:
+    """Count the tokens that may be lent for a whole term.
+
+    Only shares that outlive the loan back it, so that a home seat that mints again
+    never finds its burst still out on loan.
+    """
+    end_s = now_s + lender_term_s(TOKEN_TERM_S)
+    burst = sum(s.burst for s in bucket.shares.values() if s.until_s >= end_s)
+    return max(0, math.floor(min(bucket.n_tokens, burst - n_lent(bucket)) + 1e-9))
+
+
+def mint_rate_per_s(bucket: BucketRow) -> float:
+    """Return the rate at which the bucket mints."""
+    return sum(share.rate_per_s for share in bucket.shares.values())
+
+
+def holds_foreign_shares(bucket: BucketRow) -> bool:
+    """Tell whether another seat delegated its share to this instance."""
+    return any(share.delegation_id for share in bucket.shares.values())
+
+
+def n_borrowed(bucket: BucketRow, now_s: float) -> int:
+    """Count borrowed tokens that can still be spent; forget lapsed loans."""
+    total = 0
+    for key, row in list(bucket.borrowed.items()):
+        if row.until_s <= now_s:
+            del bucket.borrowed[key]
+        else:
+            total += row.n_left
+    return total
+
+
+def spend_token(bucket: BucketRow, now_s: float) -> bool:
+    """Spend one token, an own one or else a borrowed one, if there is any."""
+    if bucket.n_tokens >= 1.0 - 1e-9:
+        bucket.n_tokens -= 1.0
+        return True
+    for row in bucket.borrowed.values():
+        if row.until_s > now_s and row.n_left > 0:
+            row.n_spent += 1
+            return True
+    return False
+
+
+def note_arrivals(bucket: BucketRow, now_s: float, n_arrived: int) -> None:
+    """Add arrivals to the smoothed demand."""
+    bucket.demand_per_s = smoothed_demand_per_s(bucket, now_s)
+    bucket.demand_s = now_s
+    bucket.demand_per_s += n_arrived * math.log(2) / DEMAND_HALF_LIFE_S
+
+
+def smoothed_demand_per_s(bucket: BucketRow, now_s: float) -> float:
+    """Return the demand, which decays by half in each half-life."""
+    age_s = max(0.0, now_s - bucket.demand_s)
+    return float(bucket.demand_per_s * 0.5 ** (age_s / DEMAND_HALF_LIFE_S))
+
+
+def home_share(
+    account: str, rate_per_s: float, burst: int, seats: list[str], seat: str
+) -> tuple[float, int]:
+    """Divide an account's limit over the seats of the fleet.
+
+    The burst is dealt in whole tokens, since a share below one token admits nothing,
+    and the rate in proportion. With fewer tokens than seats, the first seat of each
+    data centre comes first, in an order that differs between accounts.
+
+    Returns:
+        Rate per second and burst of one seat. Over all seats they sum to the whole.
+
+    Example:
+        >>> home_share("a", 3.0, 6, ["x-1", "x-2"], "x-1")
+        (1.5, 3)
+    """
+    if seat not in seats:
+        return 0.0, 0
+    ordered = sorted(seats, key=lambda name: _seat_order(account, name))
+    each, extra = divmod(burst, len(seats))
+    own = each + (1 if ordered.index(seat) < extra else 0)
+    return rate_per_s * own / burst, own
+
+
+def _seat_order(account: str, seat: str) -> tuple[int, int]:
+    number = seat.rpartition("-")[2]
+    rank = int(number) if number.isdigit() else 0
+    return rank, rendezvous_score(account, seat)
+
+
+def rendezvous_score(key: str, candidate: str) -> int:
+    """Score a candidate for a key, by rendezvous hashing (Thaler, Ravishankar)."""
+    return xxhash.xxh64_intdigest(f"{key}/{candidate}".encode())
--- /dev/null
+++ b/src/rhubarbspan/systems/claiming.py
@@ -0,0 +1,69 @@
+"""Claims idempotency keys in the store, so that a request runs at most once."""
+
+from ..configuration import RouteKind
+from ..effects import Effects, WriteClaim
+from ..inputs import ClaimResult, ClaimSettled, Inbox
+from ..tables.claims import ClaimRow, ClaimState
+from ..tables.requests import RequestRow, RequestState
+from ..verdict import MayHaveRun, NotRun, Reason
+from ..world import World
+from .claim_memory import claim_key
+from .queueing import join_queue
+from .refusing import refuse
+
+MEMORY_S = 900.0
+CLAIM_TIMEOUT_S = 2.0
+
+
+def claim_requests(world: World, now_s: float, inbox: Inbox) -> Effects:
+    """Send admitted requests to the queue, at-most-once ones only with a claim."""
+    effects: Effects = []
+    for settled in inbox.of(ClaimSettled):
+        effects += _settle(world, now_s, settled)
+    for row in world.requests.in_state(RequestState.ADMITTED):
+        if row.route.kind is RouteKind.AT_MOST_ONCE and not row.has_claim:
+            effects += _start_claim(world, now_s, row)
+        else:
+            join_queue(world, now_s, row)
+    return effects
+
+
+def _start_claim(world: World, now_s: float, row: RequestRow) -> Effects:
+    world.claims.forget_before(now_s - MEMORY_S)
+    key = claim_key(row)
+    known = world.claims.rows.get(key)
+    if known is not None and known.state in (ClaimState.PENDING, ClaimState.USED):
+        verdict = MayHaveRun(Reason.DUPLICATE)
+        return refuse(world, now_s, row, verdict)
+    if known is not None:
+        # An own claim whose fate is unknown keeps its nonce: if the store holds it,
+        # no request has run under it.
+        nonce = known.nonce
+    else:
+        nonce = f"{world.identity.seat}/{world.identity.incarnation}/{row.request_id}"
+    world.claims.rows.pop(key, None)
+    world.claims.rows[key] = ClaimRow(key, nonce, ClaimState.PENDING, now_s)
+    world.requests.move(row, RequestState.CLAIMING)
+    give_up_s = min(row.deadline_s, now_s + CLAIM_TIMEOUT_S)
+    return [WriteClaim(row.request_id, key, nonce, give_up_s)]
+
+
+def _settle(world: World, now_s: float, settled: ClaimSettled) -> Effects:
+    row = world.requests.get(settled.request_id)
+    if row is None or row.state is not RequestState.CLAIMING:
+        return []
+    claim = world.claims.rows[claim_key(row)]
+    match settled.result:
+        case ClaimResult.OURS:
+            row.has_claim = True
+            join_queue(world, now_s, row)
+            return []
+        case ClaimResult.TAKEN:
+            claim.state = ClaimState.USED
+            verdict = MayHaveRun(Reason.DUPLICATE)
+            return refuse(world, now_s, row, verdict)
+        case ClaimResult.UNKNOWN | ClaimResult.NOT_WRITTEN:
+            claim.state = ClaimState.UNRESOLVED
+            world.count("claims_unresolved")
+            unresolved = NotRun(Reason.CLAIM_UNKNOWN)
+            return refuse(world, now_s, row, unresolved)
--- /dev/null
+++ b/src/rhubarbspan/systems/departure.py
@@ -0,0 +1,32 @@
+"""Leaves the fleet without cutting a request."""
+
+from ..effects import Effects, Exit, Level, LogChange
+from ..inputs import Inbox, StopRequested, Timer
+from ..world import Departure, World
+from .steering import ANSWER_LIFETIME_S
+
+NOTICE_S = 1.0
+
+
+def depart(world: World, now_s: float, inbox: Inbox) -> Effects:
+    """Begin to leave when asked, and end the process when nothing is left to do.
+
+    Callers may use a look-up answer until it has run out, so the instance goes on
+    serving for that long after peers know that it leaves.
+    """
+    effects: Effects = []
+    if inbox.of(StopRequested) and world.departure is None:
+        serve_until_s = now_s + NOTICE_S + ANSWER_LIFETIME_S
+        world.departure = Departure(now_s, serve_until_s)
+        world.deadlines.arm(now_s, Timer.HEARTBEAT, "extra")
+        world.deadlines.arm(now_s, Timer.STEERING, "extra")
+        world.deadlines.arm(serve_until_s, Timer.DEPARTURE, "")
+        effects.append(LogChange(Level.INFO, "leaving"))
+    departure = world.departure
+    if departure is None or now_s < departure.serve_until_s:
+        return effects
+    if len(world.requests) == 0 and not departure.is_over:
+        departure.is_over = True
+        effects.append(LogChange(Level.INFO, "left"))
+        effects.append(Exit())
+    return effects
--- /dev/null
+++ b/src/rhubarbspan/systems/expiry.py
@@ -0,0 +1,27 @@
+"""Ends requests whose deadline has passed."""
+
+from ..effects import AbortAttempt, Effects
+from ..inputs import Inbox, Timer
+from ..tables.requests import RequestRow, RequestState
+from ..verdict import MayHaveRun, NotRun, Reason
+from ..world import World
+from .refusing import refuse
+
+
+def expire_requests(world: World, now_s: float, inbox: Inbox) -> Effects:
+    """Refuse requests that waited too long and abort those that run too long."""
+    effects: Effects = []
+    for key in inbox.due(Timer.REQUEST):
+        row = world.requests.get(int(key))
+        if row is not None and now_s >= row.deadline_s:
+            effects += _expire(world, now_s, row)
+    return effects
+
+
+def _expire(world: World, now_s: float, row: RequestRow) -> Effects:
+    if row.state is RequestState.RUNNING:
+        # The attempt's own end, reported by the edge, frees its slot.
+        return [AbortAttempt(row.request_id, row.n_attempts)]
+    if isinstance(row.last_verdict, MayHaveRun):
+        return refuse(world, now_s, row, row.last_verdict)
+    return refuse(world, now_s, row, NotRun(Reason.DEADLINE))
--- /dev/null
+++ b/src/rhubarbspan/systems/intake.py
@@ -0,0 +1,122 @@
+"""Takes requests in: finds the route, checks the key, and refuses bad ones at once."""
+
+from dataclasses import dataclass
+
+import xxhash
+
+from ..configuration import Route, RouteKind, match_route
+from ..effects import AnswerCaller, Effects
+from ..inputs import Inbox, RequestArrived, Timer
+from ..tables.requests import RequestRow, RequestState
+from ..verdict import NotRun, Reason
+from ..world import World
+from .queueing import longest_lane, note_pool_arrivals
+from .revisions import config_age_s
+from .slots import region_slots
+from .suspicion import is_quarantined
+
+RETRY_SHARE = 0.1
+MAX_RETRY_BUDGET = 20.0
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """A request that may be admitted.
+
+    Attributes:
+        account: The client account, or an empty string on an open route.
+    """
+
+    route: Route
+    account: str
+
+
+def take_in_requests(world: World, now_s: float, inbox: Inbox) -> Effects:
+    """Add a row for each acceptable request and refuse the others."""
+    world.new_requests.clear()
+    effects: Effects = []
+    for arrived in inbox.of(RequestArrived):
+        world.count("requests")
+        match _examine(world, now_s, arrived):
+            case Accepted(route=route, account=account):
+                _add_row(world, now_s, arrived, route, account)
+            case NotRun(reason=reason) as verdict:
+                world.count("not_run", reason.value)
+                effects.append(AnswerCaller(arrived.request_id, verdict))
+    return effects
+
+
+def _examine(world: World, now_s: float, arrived: RequestArrived) -> Accepted | NotRun:
+    if world.configuration.revision == 0:
+        return NotRun(Reason.NOT_READY)
+    route = match_route(world.configuration, arrived.path)
+    if route is None:
+        return NotRun(Reason.UNKNOWN_ROUTE)
+    max_age_s = route.max_config_age_s
+    if max_age_s and config_age_s(world, now_s) > max_age_s:
+        return NotRun(Reason.STALE_CONFIGURATION)
+    account = ""
+    if not route.is_open:
+        account = world.configuration.account_by_key_hash.get(arrived.key_hash, "")
+        if not account:
+            return NotRun(Reason.BAD_KEY)
+    is_at_most_once = route.kind is RouteKind.AT_MOST_ONCE
+    if is_at_most_once and not arrived.idempotency_key:
+        return NotRun(Reason.KEY_MISSING)
+    if is_quarantined(world, now_s, fingerprint_of(arrived, account)):
+        return NotRun(Reason.QUARANTINED)
+    return _check_queue(world, now_s, route, account)
+
+
+def _check_queue(
+    world: World, now_s: float, route: Route, account: str
+) -> Accepted | NotRun:
+    """Refuse what the queue cannot take, before it costs a token or a claim."""
+    pool = world.configuration.pools[route.pool]
+    queue = world.queues.of(pool.name)
+    if queue.n_queued == 0:
+        return Accepted(route, account)
+    lane = queue.lanes.get(account)
+    longest = longest_lane(queue)
+    if queue.n_queued >= pool.n_max_queued and (lane is longest or longest is None):
+        return NotRun(Reason.QUEUE_FULL)
+    n_slots = region_slots(world, pool, now_s)
+    n_lanes = max(1, len(queue.lanes))
+    n_ahead = min(queue.n_queued, (len(lane.request_ids) if lane else 0) * n_lanes)
+    wait_s = n_ahead * queue.service_s / n_slots if n_slots else 0.0
+    if wait_s > route.timeout_s:
+        return NotRun(Reason.DEADLINE)
+    return Accepted(route, account)
+
+
+def fingerprint_of(arrived: RequestArrived, account: str) -> str:
+    """Identify a request among its resends, or return an empty string."""
+    identity = arrived.idempotency_key or arrived.body_digest
+    if not identity:
+        return ""
+    return xxhash.xxh64_hexdigest(f"{account}\n{arrived.path}\n{identity}".encode())
+
+
+def _add_row(
+    world: World, now_s: float, arrived: RequestArrived, route: Route, account: str
+) -> None:
+    timeout_s = route.timeout_s
+    if arrived.timeout_s > 0:
+        timeout_s = min(timeout_s, arrived.timeout_s)
+    row = RequestRow(
+        arrived.request_id,
+        arrived,
+        route,
+        account,
+        fingerprint_of(arrived, account),
+        now_s,
+        now_s + timeout_s,
+    )
+    if not account:
+        row.state = RequestState.ADMITTED
+    world.requests.add(row)
+    world.new_requests.append(row)
+    world.deadlines.arm(row.deadline_s, Timer.REQUEST, str(row.request_id))
+    queue = world.queues.of(route.pool)
+    note_pool_arrivals(queue, now_s, 1)
+    queue.retry_budget = min(MAX_RETRY_BUDGET, queue.retry_budget + RETRY_SHARE)
--- /dev/null
+++ b/src/rhubarbspan/systems/lending.py
@@ -0,0 +1,174 @@
+"""Lends slots of backend servers between instances, also across regions.
+
+A request never goes to another instance's server without a slot from its owner, so
+room in a region is given out once, however many instances see it.
+"""
+
+import math
+
+from ..effects import Effects, SendPeer
+from ..inputs import Inbox, PeerReceived, Timer
+from ..peer_messages import SlotGrant, SlotLoan, SlotRequest, SlotReturn
+from ..tables.servers import ServerRow
+from ..tables.slot_loans import BorrowedSlotRow, LentSlotRow, SlotAskRow
+from ..world import World
+from .bucketing import lender_term_s
+from .slots import n_free_slots, n_usable_slots, owned_servers
+
+SLOT_TERM_S = 5.0
+START_WITHIN_S = 2.0
+ASK_TIMEOUT_S = 0.25
+RESERVE_FRACTION = 0.15
+BARRED_S = 0.02
+BARRED_REMOTE_S = 0.2
+
+
+def lend_slots(world: World, now_s: float, inbox: Inbox) -> Effects:
+    """Answer requests for slots, and take in answers and returns."""
+    effects: Effects = []
+    for received in inbox.of(PeerReceived):
+        match received.message:
+            case SlotRequest() as request:
+                effects.append(_answer(world, now_s, request))
+            case SlotGrant() as grant:
+                effects += _take(world, now_s, grant)
+            case SlotReturn() as returned:
+                _take_back(world, returned)
+    if inbox.due(Timer.HEARTBEAT):
+        _drop_lapsed(world, now_s)
+    return effects
+
+
+def _answer(world: World, now_s: float, request: SlotRequest) -> SendPeer:
+    loans: list[SlotLoan] = []
+    for server in _spare_servers(world, now_s, request):
+        world.slot_loans.n_loans += 1
+        loan_id = world.slot_loans.n_loans
+        server.n_lent += 1
+        world.slot_loans.lent[loan_id] = LentSlotRow(
+            loan_id,
+            server.server_id,
+            request.pool,
+            request.seat,
+            now_s + lender_term_s(SLOT_TERM_S),
+        )
+        loans.append(SlotLoan(loan_id, server.server_id, server.address))
+    world.count("slots_lent", request.pool, len(loans))
+    me = world.identity
+    grant = SlotGrant(
+        me.seat,
+        me.incarnation,
+        request.number,
+        request.pool,
+        request.asked_s,
+        START_WITHIN_S,
+        loans,
+    )
+    return SendPeer(request.seat, grant)
+
+
+def _spare_servers(world: World, now_s: float, request: SlotRequest) -> list[ServerRow]:
+    """Pick a server for each slot to lend, the one with the most free slots first."""
+    pool = world.configuration.pools.get(request.pool)
+    if pool is None:
+        return []
+    queue = world.queues.of(pool.name)
+    owned = owned_servers(world, pool.name)
+    free = {row.server_id: n_free_slots(row, pool, now_s) for row in owned}
+    n_spare = sum(free.values()) - queue.n_queued
+    if request.is_remote:
+        n_usable = sum(n_usable_slots(row, pool, now_s) for row in owned)
+        n_spare -= math.ceil(n_usable * RESERVE_FRACTION)
+    picked: list[ServerRow] = []
+    for _ in range(min(n_spare, request.n_slots)):
+        best = max(owned, key=lambda row: free[row.server_id])
+        free[best.server_id] -= 1
+        picked.append(best)
+    return picked
+
+
+def _take(world: World, now_s: float, grant: SlotGrant) -> Effects:
+    ask = world.slot_loans.asks.pop(grant.number, None)
+    until_s = grant.asked_s + grant.term_s
+    if ask is None or until_s <= now_s:
+        return []
+    peer = world.peers.get(grant.seat)
+    region = peer.region if peer else ""
+    world.queues.dirty.add(grant.pool)
+    for loan in grant.loans:
+        key = (grant.seat, grant.incarnation, loan.loan_id)
+        world.slot_loans.borrowed[key] = BorrowedSlotRow(
+            loan.loan_id,
+            grant.seat,
+            grant.incarnation,
+            loan.server_id,
+            loan.address,
+            grant.pool,
+            region,
+            until_s,
+        )
+    if len(grant.loans) < ask.n_slots:
+        is_near = region == world.identity.region
+        pause_s = BARRED_S if is_near else BARRED_REMOTE_S
+        world.slot_loans.barred[grant.pool, grant.seat] = now_s + pause_s
+        world.deadlines.arm(now_s + pause_s, Timer.SERVER, grant.pool)
+    return []
+
+
+def _take_back(world: World, returned: SlotReturn) -> None:
+    if returned.owner_incarnation != world.identity.incarnation:
+        return
+    for loan_id in returned.loan_ids:
+        lent = world.slot_loans.lent.get(loan_id)
+        if lent is not None and lent.borrower == returned.seat:
+            _end_loan(world, lent)
+
+
+def _end_loan(world: World, lent: LentSlotRow) -> None:
+    del world.slot_loans.lent[lent.loan_id]
+    server = world.servers.get(lent.server_id)
+    if server is not None:
+        server.n_lent = max(0, server.n_lent - 1)
+    world.queues.dirty.add(lent.pool)
+
+
+def _drop_lapsed(world: World, now_s: float) -> None:
+    """End loans whose term is over; the server's report then shows their use."""
+    for lent in list(world.slot_loans.lent.values()):
+        if lent.until_s <= now_s:
+            _end_loan(world, lent)
+    for ask in list(world.slot_loans.asks.values()):
+        if ask.until_s <= now_s:
+            del world.slot_loans.asks[ask.number]
+
+
+def ask_for_slots(
+    world: World, now_s: float, pool: str, n_slots: int, seat: str, is_remote: bool
+) -> Effects:
+    """Ask an instance for slots of its servers."""
+    loans = world.slot_loans
+    loans.n_asks += 1
+    until_s = now_s + ASK_TIMEOUT_S
+    loans.asks[loans.n_asks] = SlotAskRow(loans.n_asks, seat, pool, n_slots, until_s)
+    world.deadlines.arm(until_s, Timer.SERVER, pool)
+    me = world.identity
+    request = SlotRequest(
+        me.seat, me.incarnation, loans.n_asks, pool, n_slots, is_remote, now_s
+    )
+    return [SendPeer(seat, request)]
+
+
+def return_idle_slots(world: World, now_s: float, pool: str) -> Effects:
+    """Give back the borrowed slots of a pool that no request holds."""
+    idle: dict[tuple[str, int], list[int]] = {}
+    for key, slot in list(world.slot_loans.borrowed.items()):
+        if slot.pool != pool or slot.request_id:
+            continue
+        del world.slot_loans.borrowed[key]
+        owner = (slot.owner, slot.owner_incarnation)
+        idle.setdefault(owner, []).append(slot.loan_id)
+    me = world.identity
+    return [
+        SendPeer(seat, SlotReturn(me.seat, me.incarnation, incarnation, loan_ids))
+        for (seat, incarnation), loan_ids in idle.items()
+    ]
--- /dev/null
+++ b/src/rhubarbspan/systems/membership.py
@@ -0,0 +1,176 @@
+"""Tracks the other entry instances and sends this instance's heartbeats."""
+
+from ..effects import Effects, Level, LogChange, SendPeer
+from ..inputs import Inbox, PeerReceived, PeersListed, Timer
+from ..peer_messages import AccountDemand, Heartbeat, PoolLoad, SuspectNotice
+from ..tables.peers import PeerRow
+from ..world import World
+from .bucketing import holds_foreign_shares, smoothed_demand_per_s
+from .revisions import config_age_s
+from .slots import n_free_slots, n_usable_slots, owned_servers
+
+HEARTBEAT_INTERVAL_S = 0.5
+DEAD_AFTER_S = 1.7
+N_DIRECT_PEERS = 16
+MAX_CONFIG_AGE_S = 1e6
+MIN_DEMAND_PER_S = 0.01
+PERIODIC = ""
+
+
+def track_peers(world: World, now_s: float, inbox: Inbox) -> Effects:
+    """Update the table of peers, and send heartbeats when they are due."""
+    effects: Effects = []
+    for listed in inbox.of(PeersListed):
+        _update_listing(world, listed)
+    for received in inbox.of(PeerReceived):
+        match received.message:
+            case Heartbeat() as heartbeat:
+                effects += _note_heartbeat(world, now_s, heartbeat)
+    keys = inbox.due(Timer.HEARTBEAT)
+    if keys:
+        effects += _find_dead(world, now_s)
+        effects += _send_heartbeats(world, now_s)
+    if PERIODIC in keys:
+        world.deadlines.arm(now_s + HEARTBEAT_INTERVAL_S, Timer.HEARTBEAT, PERIODIC)
+    return effects
+
+
+def neighbours(world: World) -> list[PeerRow]:
+    """Choose the peers that get this instance's heartbeats directly.
+
+    Up to ``N_DIRECT_PEERS`` instances all hear each other. In a larger fleet an
+    instance talks to those of its own data centre, to the next ones on a ring
+    of seats, and to no others.
+    """
+    rows = [row for row in world.peers.rows() if row.peer_address]
+    if len(rows) <= N_DIRECT_PEERS:
+        return rows
+    me = world.identity
+    near = [row for row in rows if row.data_centre == me.data_centre]
+    ring = sorted(rows, key=lambda row: (row.seat <= me.seat, row.seat))
+    chosen = {row.seat: row for row in [*near[:N_DIRECT_PEERS], *ring[:4]]}
+    return list(chosen.values())
+
+
+def _update_listing(world: World, listing: PeersListed) -> None:
+    me = world.identity.seat
+    listed = {peer.seat: peer for peer in listing.peers if peer.seat != me}
+    if not listing.is_seed:
+        world.has_peer_list = True
+        for row in world.peers.rows():
+            row.is_listed = row.seat in listed
+    for peer in listed.values():
+        row = _row_of(world, peer.seat, peer.data_centre)
+        row.is_listed = not listing.is_seed
+        row.is_listed_leaving = peer.is_leaving
+        row.peer_address = peer.peer_address
+        row.address = peer.address
+
+
+def _row_of(world: World, seat: str, data_centre: str) -> PeerRow:
+    row = world.peers.get(seat)
+    if row is None:
+        region = world.configuration.region_of(data_centre)
+        row = PeerRow(seat, data_centre, region)
+        world.peers.add(row)
+    if not row.region:
+        row.region = world.configuration.region_of(row.data_centre)
+    return row
+
+
+def _note_heartbeat(world: World, now_s: float, heartbeat: Heartbeat) -> Effects:
+    if heartbeat.seat == world.identity.seat:
+        world.count("heartbeats_with_own_seat")
+        return []
+    data_centre = heartbeat.seat.rpartition("-")[0]
+    row = _row_of(world, heartbeat.seat, data_centre)
+    if heartbeat.incarnation < row.incarnation:
+        return []
+    is_new = heartbeat.incarnation > row.incarnation
+    if not is_new and heartbeat.sequence <= row.sequence:
+        return []
+    row.incarnation = heartbeat.incarnation
+    row.sequence = heartbeat.sequence
+    row.last_heard_s = now_s
+    row.revision = heartbeat.revision
+    row.is_leaving = heartbeat.is_leaving
+    row.loads = {load.pool: load for load in heartbeat.loads}
+    row.demands = {demand.account: demand for demand in heartbeat.demands}
+    if row.is_alive:
+        return []
+    row.is_alive = True
+    return [LogChange(Level.INFO, f"instance {row.seat} is alive")]
+
+
+def _find_dead(world: World, now_s: float) -> Effects:
+    effects: Effects = []
+    for row in world.peers.alive():
+        if now_s - row.last_heard_s > DEAD_AFTER_S:
+            row.is_alive = False
+            level = Level.INFO if row.is_leaving else Level.WARNING
+            state = "has left" if row.is_leaving else "is silent"
+            effects.append(LogChange(level, f"instance {row.seat} {state}"))
+    return effects
+
+
+def _send_heartbeats(world: World, now_s: float) -> Effects:
+    world.n_sequence += 1
+    me = world.identity
+    heartbeat = Heartbeat(
+        seat=me.seat,
+        incarnation=me.incarnation,
+        sequence=world.n_sequence,
+        revision=world.configuration.revision,
+        is_leaving=world.departure is not None,
+        config_age_s=min(config_age_s(world, now_s), MAX_CONFIG_AGE_S),
+        loads=_describe_loads(world, now_s),
+        demands=_describe_demands(world, now_s),
+        suspects=_describe_suspects(world),
+    )
+    return [SendPeer(row.seat, heartbeat) for row in neighbours(world)]
+
+
+def _describe_loads(world: World, now_s: float) -> list[PoolLoad]:
+    loads = []
+    for pool in world.configuration.pools.values():
+        servers = owned_servers(world, pool.name)
+        n_slots = sum(n_usable_slots(row, pool, now_s) for row in servers)
+        n_free = sum(n_free_slots(row, pool, now_s) for row in servers)
+        n_foreign = round(sum(row.n_foreign for row in servers))
+        queue = world.queues.of(pool.name)
+        loads.append(
+            PoolLoad(
+                pool.name,
+                max(0, n_slots - n_free),
+                n_foreign,
+                n_slots,
+                queue.n_queued,
+                queue.arrivals_per_s,
+            )
+        )
+    return loads
+
+
+def _describe_demands(world: World, now_s: float) -> list[AccountDemand]:
+    return [
+        AccountDemand(
+            row.account,
+            round(smoothed_demand_per_s(row, now_s), 3),
+            holds_foreign_shares(row),
+        )
+        for row in world.buckets.rows()
+        if smoothed_demand_per_s(row, now_s) > MIN_DEMAND_PER_S
+        or holds_foreign_shares(row)
+    ]
+
+
+def _describe_suspects(world: World) -> list[SuspectNotice]:
+    return [
+        SuspectNotice(
+            row.fingerprint,
+            list(row.deaths),
+            list(row.deaths.values()),
+            list(row.cleared),
+        )
+        for row in world.suspects.rows()
+    ]
--- /dev/null
+++ b/src/rhubarbspan/systems/outcomes.py
@@ -0,0 +1,161 @@
+"""Settles attempts: what the outcome says of the server, and retry or verdict."""
+
+from ..configuration import RouteKind
+from ..effects import AbortAttempt, Effects, Level, LogChange
+from ..inputs import (
+    Aborted,
+    AttemptEnded,
+    CallerGone,
+    Completed,
+    ConnectFailed,
+    ConnectionLost,
+    Inbox,
+    Shed,
+    TimedOut,
+    Timer,
+)
+from ..tables.requests import RequestRow, RequestState
+from ..tables.servers import ServerRow
+from ..verdict import MayHaveRun, NotRun, Reason
+from ..world import World
+from .queueing import rejoin_queue
+from .refusing import SERVER_ERROR_STATUS, finish, refuse
+from .suspicion import acquit, is_quarantined, suspect
+
+MAX_ATTEMPTS = 4
+SERVICE_SMOOTHING = 0.05
+FAILURE_SMOOTHING = 0.2
+EJECT_ABOVE_FAILURE_RATE = 0.5
+N_ATTEMPTS_TO_EJECT = 3
+EJECTION_S = 2.0
+MAX_EJECTION_S = 60.0
+SHED_PAUSE_S = 0.1
+
+
+def settle_attempts(world: World, now_s: float, inbox: Inbox) -> Effects:
+    """Free slots, learn about servers, and end or retry requests."""
+    effects: Effects = []
+    for gone in inbox.of(CallerGone):
+        effects += _note_caller_gone(world, now_s, gone.request_id)
+    for ended in inbox.of(AttemptEnded):
+        effects += _settle(world, now_s, ended)
+    return effects
+
+
+def _note_caller_gone(world: World, now_s: float, request_id: int) -> Effects:
+    row = world.requests.get(request_id)
+    if row is None:
+        return []
+    if row.state is not RequestState.RUNNING:
+        return refuse(world, now_s, row, NotRun(Reason.CANCELLED))
+    if row.route.kind is RouteKind.IDEMPOTENT:
+        return [AbortAttempt(row.request_id, row.n_attempts)]
+    return []
+
+
+def _settle(world: World, now_s: float, ended: AttemptEnded) -> Effects:
+    row = world.requests.get(ended.request_id)
+    if row is None or row.state is not RequestState.RUNNING:
+        return []
+    if ended.attempt_id != row.n_attempts:
+        return []
+    _free_slot(world, row)
+    server = world.servers.get(row.server_id)
+    effects: Effects = []
+    match ended.outcome:
+        case Completed(status=status):
+            _note_service(world, now_s, row)
+            acquit(world, row)
+            effects += _score(world, now_s, server, status >= SERVER_ERROR_STATUS)
+            return effects + finish(world, now_s, row, status)
+        case Shed():
+            if server is not None:
+                server.shed_until_s = now_s + SHED_PAUSE_S
+                world.deadlines.arm(server.shed_until_s, Timer.SERVER, server.pool)
+            return effects + _retry_or(world, now_s, row, NotRun(Reason.SHED))
+        case ConnectFailed():
+            effects += _score(world, now_s, server, True)
+            verdict = NotRun(Reason.CONNECT_FAILED)
+            return effects + _retry_or(world, now_s, row, verdict)
+        case ConnectionLost(has_answer_begun=has_begun, is_body_spent=is_spent):
+            effects += _score(world, now_s, server, True)
+            if server is not None:
+                effects += suspect(world, now_s, row, server)
+            reason = Reason.TRUNCATED if has_begun else Reason.CONNECTION_LOST
+            lost = MayHaveRun(reason)
+            if has_begun or is_spent or row.route.kind is not RouteKind.IDEMPOTENT:
+                return effects + refuse(world, now_s, row, lost)
+            return effects + _retry_or(world, now_s, row, lost)
+        case TimedOut():
+            effects += _score(world, now_s, server, True)
+            late = MayHaveRun(Reason.DEADLINE)
+            return effects + refuse(world, now_s, row, late)
+        case Aborted():
+            cancelled = MayHaveRun(Reason.CANCELLED)
+            return effects + refuse(world, now_s, row, cancelled)
+
+
+def _free_slot(world: World, row: RequestRow) -> None:
+    server = world.servers.get(row.server_id)
+    if server is not None:
+        server.running.pop(row.request_id, None)
+    if row.slot_key is not None:
+        slot = world.slot_loans.borrowed.get(row.slot_key)
+        if slot is not None:
+            slot.request_id = 0
+        row.slot_key = None
+    world.queues.dirty.add(row.route.pool)
+
+
+def _note_service(world: World, now_s: float, row: RequestRow) -> None:
+    queue = world.queues.of(row.route.pool)
+    service_s = now_s - row.sent_s
+    queue.service_s += SERVICE_SMOOTHING * (service_s - queue.service_s)
+
+
+def _score(
+    world: World, now_s: float, server: ServerRow | None, has_failed: bool
+) -> Effects:
+    """Keep the server's failure rate, and eject it while the rate is high."""
+    if server is None:
+        return []
+    server.n_recent += 1
+    server.failure_rate += FAILURE_SMOOTHING * (has_failed - server.failure_rate)
+    if not has_failed:
+        server.last_success_s = now_s
+        server.n_ejections = 0
+        return []
+    is_bad = server.failure_rate > EJECT_ABOVE_FAILURE_RATE
+    if not is_bad or server.n_recent < N_ATTEMPTS_TO_EJECT:
+        return []
+    if server.ejected_until_s > now_s:
+        return []
+    pause_s = min(MAX_EJECTION_S, EJECTION_S * 2.0**server.n_ejections)
+    server.n_ejections += 1
+    server.ejected_until_s = now_s + pause_s
+    server.failure_rate = EJECT_ABOVE_FAILURE_RATE
+    world.count("ejections", server.pool)
+    world.deadlines.arm(server.ejected_until_s, Timer.SERVER, server.pool)
+    text = f"backend server {server.server_id} ejected for {pause_s:g} s"
+    return [LogChange(Level.WARNING, text)]
+
+
+def _retry_or(
+    world: World, now_s: float, row: RequestRow, verdict: NotRun | MayHaveRun
+) -> Effects:
+    """Queue a request again if that is safe and within the budget, or refuse it."""
+    row.tried.add(row.server_id)
+    queue = world.queues.of(row.route.pool)
+    if is_quarantined(world, now_s, row.fingerprint):
+        if isinstance(verdict, NotRun):
+            return refuse(world, now_s, row, NotRun(Reason.QUARANTINED))
+        return refuse(world, now_s, row, verdict)
+    is_over = row.n_attempts >= MAX_ATTEMPTS or now_s >= row.deadline_s
+    if is_over or queue.retry_budget < 1:
+        world.count("retries_refused", row.route.pool)
+        return refuse(world, now_s, row, verdict)
+    queue.retry_budget -= 1
+    world.count("retries", row.route.pool)
+    row.last_verdict = verdict
+    rejoin_queue(world, now_s, row)
+    return []
--- /dev/null
+++ b/src/rhubarbspan/systems/queueing.py
@@ -0,0 +1,73 @@
+"""The queue before a pool: bounded, and fair between client accounts."""
+
+from ..tables.queues import LaneRow, QueueRow
+from ..tables.requests import RequestRow, RequestState
+from ..world import World
+
+ARRIVALS_WINDOW_S = 2.0
+
+
+def join_queue(world: World, now_s: float, row: RequestRow) -> None:
+    """Put an admitted request at the end of its account's lane."""
+    _enter(world, now_s, row).request_ids.append(row.request_id)
+
+
+def rejoin_queue(world: World, now_s: float, row: RequestRow) -> None:
+    """Put a request that a server did not run back at the head of its lane."""
+    _enter(world, now_s, row).request_ids.appendleft(row.request_id)
+
+
+def _enter(world: World, now_s: float, row: RequestRow) -> LaneRow:
+    queue = world.queues.of(row.route.pool)
+    world.requests.move(row, RequestState.QUEUED)
+    row.queued_s = now_s
+    queue.n_queued += 1
+    world.queues.dirty.add(queue.pool)
+    return queue.lanes.setdefault(row.account, LaneRow(row.account))
+
+
+def leave_queue(world: World, row: RequestRow) -> None:
+    """Take a request off the count; its number in the lane is skipped later."""
+    world.queues.of(row.route.pool).n_queued -= 1
+
+
+def longest_lane(queue: QueueRow) -> LaneRow | None:
+    """Return the lane with the most requests."""
+    if not queue.lanes:
+        return None
+    return max(queue.lanes.values(), key=lambda lane: len(lane.request_ids))
+
+
+def next_waiting(world: World, queue: QueueRow) -> RequestRow | None:
+    """Take the request whose turn it is: lanes take turns, one request each."""
+    while queue.lanes:
+        account = next(iter(queue.lanes))
+        lane = queue.lanes.pop(account)
+        row = _pop_live(world, lane)
+        if lane.request_ids:
+            queue.lanes[account] = lane
+        if row is not None:
+            return row
+    return None
+
+
+def _pop_live(world: World, lane: LaneRow) -> RequestRow | None:
+    while lane.request_ids:
+        row = world.requests.get(lane.request_ids.popleft())
+        if row is not None and row.state is RequestState.QUEUED:
+            return row
+    return None
+
+
+def put_back(queue: QueueRow, row: RequestRow) -> None:
+    """Undo taking a request that cannot be sent now."""
+    lane = queue.lanes.setdefault(row.account, LaneRow(row.account))
+    lane.request_ids.appendleft(row.request_id)
+
+
+def note_pool_arrivals(queue: QueueRow, now_s: float, n_arrived: int) -> None:
+    """Add arrivals to the smoothed rate of requests for a pool."""
+    age_s = max(0.0, now_s - queue.arrivals_s)
+    keep = max(0.0, 1.0 - age_s / ARRIVALS_WINDOW_S)
+    queue.arrivals_per_s = queue.arrivals_per_s * keep + n_arrived / ARRIVALS_WINDOW_S
+    queue.arrivals_s = now_s
--- /dev/null
+++ b/src/rhubarbspan/systems/refusing.py
@@ -0,0 +1,59 @@
+"""Ends requests: the answer to the caller, the counters and the history."""
+
+from ..effects import AnswerCaller, Effects
+from ..tables.requests import RequestRow, RequestState
+from ..verdict import Answered, MayHaveRun, NotRun, Reason, Verdict
+from ..world import World
+from .claim_memory import release_claim
+from .queueing import leave_queue
+
+SERVER_ERROR_STATUS = 500
+UNCOUNTED_REASONS = frozenset(
+    {Reason.CANCELLED, Reason.BAD_REQUEST, Reason.DUPLICATE, Reason.QUARANTINED}
+)
+
+
+def refuse(
+    world: World,
+    now_s: float,
+    row: RequestRow,
+    verdict: NotRun | MayHaveRun,
+    retry_after_s: float = 0.0,
+) -> Effects:
+    """End a request without a whole answer."""
+    if isinstance(verdict, NotRun):
+        release_claim(world, row)
+    _end(world, now_s, row, verdict)
+    return [AnswerCaller(row.request_id, verdict, retry_after_s)]
+
+
+def finish(world: World, now_s: float, row: RequestRow, status: int) -> Effects:
+    """End a request whose whole answer reached the caller."""
+    verdict = Answered(status)
+    _end(world, now_s, row, verdict)
+    return [AnswerCaller(row.request_id, verdict)]
+
+
+def _end(world: World, now_s: float, row: RequestRow, verdict: Verdict) -> None:
+    if row.state is RequestState.QUEUED:
+        leave_queue(world, row)
+    world.requests.remove(row)
+    interval = world.history.at(row.route.name, row.account, now_s)
+    match verdict:
+        case Answered(status=status) if status < SERVER_ERROR_STATUS:
+            is_slow = now_s - row.arrived_s > row.route.latency_objective_s
+            interval.n_good += 1
+            interval.n_slow += is_slow
+            world.count("answered", row.route.name)
+        case Answered():
+            interval.n_failed += 1
+            world.count("answered_with_error", row.route.name)
+        case NotRun(reason=Reason.OVER_RATE):
+            interval.n_over_rate += 1
+            world.count("not_run", Reason.OVER_RATE.value)
+        case NotRun(reason=reason):
+            interval.n_failed += reason not in UNCOUNTED_REASONS
+            world.count("not_run", reason.value)
+        case MayHaveRun(reason=reason):
+            interval.n_failed += reason not in UNCOUNTED_REASONS
+            world.count("may_have_run", reason.value)
--- /dev/null
+++ b/src/rhubarbspan/systems/revisions.py
@@ -0,0 +1,122 @@
+"""Puts configuration revisions in force and passes them on; they never go back."""
+
+from ..checking import check_document
+from ..configuration import Configuration
+from ..document import Change, Snapshot, apply_changes
+from ..effects import Effects, Level, LogChange, SendPeer
+from ..inputs import ConfigurationOffered, Inbox, PeerReceived, StoreContacted
+from ..peer_messages import ConfigurationDelivery, ConfigurationRequest, Heartbeat
+from ..world import World
+
+N_CHANGES_KEPT = 256
+ASK_INTERVAL_S = 0.2
+
+
+def put_revisions_in_force(world: World, now_s: float, inbox: Inbox) -> Effects:
+    """Take configuration from the store or peers, and answer peers that ask."""
+    world.is_configuration_new = False
+    effects: Effects = []
+    for offer in inbox.of(ConfigurationOffered):
+        effects += _consider_offer(world, now_s, offer)
+    state = world.configuration_state
+    for contact in inbox.of(StoreContacted):
+        if contact.revision <= state.snapshot.revision:
+            state.confirmed_s = now_s
+    for received in inbox.of(PeerReceived):
+        match received.message:
+            case Heartbeat() as heartbeat:
+                effects += _compare_revisions(world, now_s, heartbeat)
+            case ConfigurationRequest() as request:
+                effects += _deliver(world, request)
+            case ConfigurationDelivery(snapshot=snapshot, changes=changes):
+                offer = ConfigurationOffered(snapshot, changes)
+                effects += _consider_offer(world, now_s, offer)
+    return effects
+
+
+def config_age_s(world: World, now_s: float) -> float:
+    """Return how long ago the configuration was known to be the newest."""
+    return max(0.0, now_s - world.configuration_state.confirmed_s)
+
+
+def _consider_offer(world: World, now_s: float, offer: ConfigurationOffered) -> Effects:
+    state = world.configuration_state
+    base = state.snapshot
+    if offer.snapshot is not None and offer.snapshot.revision > base.revision:
+        base = offer.snapshot
+    offered = apply_changes(base, offer.changes)
+    if offered is None:
+        world.count("configuration_gaps")
+        return []
+    if offered.revision <= state.snapshot.revision:
+        if offer.is_from_store and offered.revision == state.snapshot.revision:
+            state.confirmed_s = now_s
+        return []
+    configuration, problems = check_document(offered.document, offered.revision)
+    if problems:
+        world.count("configuration_rejected")
+        text = problems[0].describe(f"revision {offered.revision}")
+        return [LogChange(Level.WARNING, f"configuration rejected: {text}")]
+    _put_in_force(world, now_s, offered, configuration, offer)
+    text = f"configuration revision {offered.revision} in force"
+    return [LogChange(Level.INFO, text)]
+
+
+def _put_in_force(
+    world: World,
+    now_s: float,
+    snapshot: Snapshot,
+    configuration: Configuration,
+    offer: ConfigurationOffered,
+) -> None:
+    state = world.configuration_state
+    state.changes = _join_changes(state.changes, offer.changes, snapshot.revision)
+    state.snapshot = snapshot
+    state.in_force_s = now_s
+    if offer.is_from_store:
+        state.confirmed_s = now_s
+    world.configuration = configuration
+    world.is_configuration_new = True
+    world.count("configuration_changes")
+
+
+def _join_changes(
+    kept: list[Change], offered: list[Change], revision: int
+) -> list[Change]:
+    """Join changes to the longest run of consecutive ones that ends at a revision."""
+    by_revision = {change.revision: change for change in [*kept, *offered]}
+    run: list[Change] = []
+    while revision in by_revision and len(run) < N_CHANGES_KEPT:
+        run.append(by_revision[revision])
+        revision -= 1
+    run.reverse()
+    return run
+
+
+def _compare_revisions(world: World, now_s: float, heartbeat: Heartbeat) -> Effects:
+    state = world.configuration_state
+    if heartbeat.revision == state.snapshot.revision:
+        confirmed_s = now_s - heartbeat.config_age_s
+        state.confirmed_s = max(state.confirmed_s, confirmed_s)
+    if heartbeat.revision <= state.snapshot.revision:
+        return []
+    if now_s - state.asked_s < ASK_INTERVAL_S:
+        return []
+    state.asked_s = now_s
+    me = world.identity
+    request = ConfigurationRequest(me.seat, me.incarnation, state.snapshot.revision)
+    return [SendPeer(heartbeat.seat, request)]
+
+
+def _deliver(world: World, request: ConfigurationRequest) -> Effects:
+    state = world.configuration_state
+    if request.revision >= state.snapshot.revision:
+        return []
+    me = world.identity
+    changes = [c for c in state.changes if c.revision > request.revision]
+    is_whole = bool(changes) and changes[0].revision == request.revision + 1
+    snapshot = None if is_whole else state.snapshot
+    delivery = ConfigurationDelivery(
+        me.seat, me.incarnation, snapshot, changes if is_whole else []
+    )
+    return [SendPeer(request.seat, delivery)]
--- /dev/null
+++ b/src/rhubarbspan/systems/shifting.py
@@ -0,0 +1,65 @@
+"""Planned shifts between regions, and the links that moved requests cross."""
+
+from ..tables.requests import RequestRow
+from ..world import World
+from .bucketing import mint, spend_token
+from .sharing import SHIFT_PREFIX
+
+NO_SHIFT = "-"
+LINK_USABLE_FRACTION = 0.9
+BITS_PER_BYTE = 8
+BYTES_PER_MBYTE = 1_000_000
+
+
+def choose_shift(world: World, now_s: float, row: RequestRow) -> str:
+    """Decide once for a request whether a planned shift moves it.
+
+    Returns:
+        The name of the shift, whose token is then spent, or ``NO_SHIFT``.
+    """
+    for shift in world.configuration.shifts.values():
+        if shift.pool != row.route.pool:
+            continue
+        if shift.from_region != world.identity.region:
+            continue
+        if world.rng.random() >= shift.fraction:
+            continue
+        bucket = world.buckets.get(SHIFT_PREFIX + shift.name)
+        if bucket is None:
+            continue
+        mint(bucket, now_s)
+        if spend_token(bucket, now_s):
+            world.count("shifted", shift.name)
+            return shift.name
+    return NO_SHIFT
+
+
+def shift_target(world: World, row: RequestRow) -> str:
+    """Return the region that a shift moves a request to, or an empty string."""
+    shift = world.configuration.shifts.get(row.shift)
+    return shift.to_region if shift else ""
+
+
+def link_between(world: World, here: str, there: str) -> str:
+    """Return the name of the link between two regions, or an empty string."""
+    if here == there:
+        return ""
+    for link in world.configuration.links.values():
+        if {here, there} == set(link.regions):
+            return link.name
+    return ""
+
+
+def link_share_bytes_per_s(world: World, name: str) -> float:
+    """Return how fast this instance may send over a link, in each direction.
+
+    The link's capacity, less a reserve for other traffic, is divided over the seats
+    at its ends, so that their sum stays below the cap whoever is alive.
+    """
+    link = world.configuration.links.get(name)
+    if link is None:
+        return 0.0
+    places = world.configuration.data_centres.values()
+    n_seats = sum(place.n_seats for place in places if place.region in link.regions)
+    bytes_per_s = link.cap_mbit_per_s * BYTES_PER_MBYTE / BITS_PER_BYTE
+    return bytes_per_s * LINK_USABLE_FRACTION / max(1, n_seats)
--- /dev/null
+++ b/src/rhubarbspan/systems/slots.py
@@ -0,0 +1,93 @@
+"""Slots of backend servers: who hands them out, how many are usable and free."""
+
+import math
+
+from ..configuration import Pool
+from ..tables.servers import ServerRow
+from ..world import World
+
+N_PROBES_TO_FAIL = 3
+TRUST_SUCCESS_S = 2.0
+
+
+def assign_servers(world: World) -> None:
+    """Work out which servers' slots this instance hands out.
+
+    The servers of a region are dealt in turn to the instances that are alive there.
+    The servers of a region without such an instance are dealt to all instances.
+    Two instances may disagree for as long as a heartbeat takes; the servers then
+    queue or shed the excess.
+    """
+    seats_by_region = _seats_by_region(world)
+    everywhere = sorted(seat for seats in seats_by_region.values() for seat in seats)
+    by_place: dict[tuple[str, str], list[ServerRow]] = {}
+    for row in world.servers.rows():
+        by_place.setdefault((row.pool, row.region), []).append(row)
+    world.owned = {pool: [] for pool in world.configuration.pools}
+    for (pool, region), rows in by_place.items():
+        seats = seats_by_region.get(region) or everywhere
+        rows.sort(key=lambda row: row.server_id)
+        for number, row in enumerate(rows):
+            if seats and seats[number % len(seats)] == world.identity.seat:
+                world.owned.setdefault(pool, []).append(row)
+
+
+def _seats_by_region(world: World) -> dict[str, list[str]]:
+    seats: dict[str, list[str]] = {}
+    if world.departure is None:
+        seats[world.identity.region] = [world.identity.seat]
+    for peer in world.peers.alive():
+        if not peer.is_leaving:
+            seats.setdefault(peer.region, []).append(peer.seat)
+    return {region: sorted(names) for region, names in seats.items()}
+
+
+def owned_servers(world: World, pool: str) -> list[ServerRow]:
+    """List the servers of a pool whose slots this instance hands out."""
+    return world.owned.get(pool, [])
+
+
+def is_available(row: ServerRow, now_s: float) -> bool:
+    """Tell whether a server may get new work at all."""
+    if row.is_leaving or row.ejected_until_s > now_s:
+        return False
+    if row.n_failed_probes < N_PROBES_TO_FAIL:
+        return True
+    return now_s - row.last_success_s < TRUST_SUCCESS_S
+
+
+def n_usable_slots(row: ServerRow, pool: Pool, now_s: float) -> int:
+    """Count the slots of a server that instances may use now.
+
+    A cold server's share grows with its age. Slots that others use are left to
+    them, but one stays usable unless the server sheds: a load report that
+    misleads must not put a server out of use.
+    """
+    if not is_available(row, now_s):
+        return 0
+    n_slots = pool.n_slots_per_server
+    age_s = now_s - row.cold_since_s
+    if age_s < pool.ramp_s:
+        n_slots = max(1, math.ceil(n_slots * age_s / pool.ramp_s))
+    n_foreign = max(0, round(row.n_foreign))
+    return max(1, n_slots - n_foreign)
+
+
+def n_free_slots(row: ServerRow, pool: Pool, now_s: float) -> int:
+    """Count the slots of a server that can take a request now."""
+    if row.shed_until_s > now_s:
+        return 0
+    usable = n_usable_slots(row, pool, now_s)
+    return max(0, usable - len(row.running) - row.n_lent)
+
+
+def region_slots(world: World, pool: Pool, now_s: float) -> int:
+    """Count the usable slots of the own region, by own and peers' reports."""
+    n_slots = sum(
+        n_usable_slots(row, pool, now_s) for row in owned_servers(world, pool.name)
+    )
+    for peer in world.peers.alive():
+        load = peer.loads.get(pool.name)
+        if load is not None and peer.region == world.identity.region:
+            n_slots += load.n_slots
+    return n_slots
--- /dev/null
+++ b/src/rhubarbspan/systems/steering.py
@@ -0,0 +1,168 @@
+"""Prepares look-up answers: which entry instances callers of a region should use."""
+
+from ..configuration import DrainKind, Pool
+from ..effects import Effects
+from ..inputs import Inbox, Timer
+from ..peer_messages import PoolLoad
+from ..tables.answers import AnswerRow, PlanRow, TargetRow
+from ..world import World
+from .slots import n_free_slots, n_usable_slots, owned_servers
+
+STEERING_INTERVAL_S = 1.0
+ANSWER_LIFETIME_S = 3.0
+TARGET_UTILISATION = 0.85
+RAMP_PER_S = 0.05
+MIN_WEIGHT = 0.001
+PERIODIC = ""
+
+
+def steer(world: World, now_s: float, inbox: Inbox) -> Effects:
+    """Recompute plans and answers, each second and when the configuration changed."""
+    keys = inbox.due(Timer.STEERING)
+    if PERIODIC in keys:
+        world.deadlines.arm(now_s + STEERING_INTERVAL_S, Timer.STEERING, PERIODIC)
+    if keys or world.is_configuration_new:
+        _prepare_answers(world, now_s)
+    return []
+
+
+def _prepare_answers(world: World, now_s: float) -> None:
+    seats = usable_seats(world)
+    regions = world.configuration.regions()
+    wanted: set[tuple[str, str]] = set()
+    for pool in world.configuration.pools.values():
+        room = {region: _room(world, now_s, pool, region) for region in regions}
+        for region in regions:
+            key = (pool.name, region)
+            wanted.add(key)
+            plan = _plan(world, now_s, pool, region, room, seats)
+            world.answers.plans[key] = plan
+            world.answers.answers[key] = _answer(plan, seats)
+    for key in set(world.answers.answers) - wanted:
+        del world.answers.answers[key]
+        del world.answers.plans[key]
+
+
+def usable_seats(world: World) -> dict[str, list[TargetRow]]:
+    """List the instances that callers may be sent to, by region."""
+    drains = world.configuration.drains.values()
+    drained = {d.target for d in drains if d.kind is not DrainKind.BACKEND_SERVER}
+    me = world.identity
+    seats: dict[str, list[TargetRow]] = {}
+    if world.departure is None and not {me.seat, me.data_centre} & drained:
+        seats[me.region] = [TargetRow(me.seat, me.address, 1.0)]
+    for peer in world.peers.alive():
+        is_out = peer.is_leaving or peer.is_listed_leaving
+        if is_out or not peer.address or {peer.seat, peer.data_centre} & drained:
+            continue
+        target = TargetRow(peer.seat, peer.address, 1.0)
+        seats.setdefault(peer.region, []).append(target)
+    return seats
+
+
+def _room(world: World, now_s: float, pool: Pool, region: str) -> tuple[float, float]:
+    """Return the slots in use or wanted, and the usable slots, of a region."""
+    n_used = 0.0
+    n_slots = 0.0
+    for load in _loads(world, now_s, pool, region):
+        n_used += load.n_used + load.n_queued
+        n_slots += load.n_slots
+    return n_used, n_slots
+
+
+def _loads(world: World, now_s: float, pool: Pool, region: str) -> list[PoolLoad]:
+    loads = []
+    for peer in world.peers.alive():
+        load = peer.loads.get(pool.name)
+        if peer.region == region and load is not None:
+            loads.append(load)
+    if region == world.identity.region:
+        owned = owned_servers(world, pool.name)
+        n_slots = sum(n_usable_slots(row, pool, now_s) for row in owned)
+        n_free = sum(n_free_slots(row, pool, now_s) for row in owned)
+        n_queued = world.queues.of(pool.name).n_queued
+        loads.append(PoolLoad(pool.name, n_slots - n_free, 0, n_slots, n_queued, 0.0))
+    return loads
+
+
+def _plan(
+    world: World,
+    now_s: float,
+    pool: Pool,
+    region: str,
+    room: dict[str, tuple[float, float]],
+    seats: dict[str, list[TargetRow]],
+) -> PlanRow:
+    """Move the region's fractions a step towards what the loads ask for."""
+    known = world.answers.plans.get((pool.name, region))
+    targets = _target_fractions(region, room, seats)
+    is_dead = region not in seats or room[region][1] <= 0
+    if known is None or is_dead:
+        return PlanRow(pool.name, region, targets, now_s)
+    step = RAMP_PER_S * min(STEERING_INTERVAL_S, now_s - known.planned_s)
+    fractions: dict[str, float] = {}
+    for other in targets.keys() | known.fractions.keys():
+        if other == region or other not in seats:
+            continue
+        old = known.fractions.get(other, 0.0)
+        change = max(-step, min(step, targets.get(other, 0.0) - old))
+        if old + change > MIN_WEIGHT:
+            fractions[other] = old + change
+    fractions[region] = max(0.0, 1.0 - sum(fractions.values()))
+    return PlanRow(pool.name, region, fractions, now_s)
+
+
+def _target_fractions(
+    region: str,
+    room: dict[str, tuple[float, float]],
+    seats: dict[str, list[TargetRow]],
+) -> dict[str, float]:
+    """Divide a region's requests: local up to the target, the excess to free room.
+
+    All instances compute fractions of the region's requests from the same
+    heartbeats, so that their answers do not add up to more than the room. The room
+    of a region is divided among those that spill, by their excess.
+    """
+    excess = {
+        name: max(0.0, used - TARGET_UTILISATION * slots)
+        for name, (used, slots) in room.items()
+    }
+    free = {
+        name: max(0.0, TARGET_UTILISATION * slots - used)
+        for name, (used, slots) in room.items()
+        if name in seats and name != region
+    }
+    used, slots = room[region]
+    if region not in seats or slots <= 0:
+        return _spread(free) or {name: 1.0 / len(seats) for name in seats}
+    total_excess = sum(excess.values())
+    if excess[region] <= 0 or used <= 0 or total_excess <= 0:
+        return {region: 1.0}
+    part = excess[region] / total_excess
+    moved = {name: min(excess[region], n * part) for name, n in free.items() if n > 0}
+    total = sum(moved.values())
+    scale = min(1.0, excess[region] / total) if total > 0 else 0.0
+    fractions = {name: n * scale / used for name, n in moved.items()}
+    fractions[region] = 1.0 - sum(fractions.values())
+    return fractions
+
+
+def _spread(free: dict[str, float]) -> dict[str, float]:
+    total = sum(free.values())
+    if total <= 0:
+        return {}
+    return {name: n / total for name, n in free.items() if n > 0}
+
+
+def _answer(plan: PlanRow, seats: dict[str, list[TargetRow]]) -> AnswerRow:
+    """Turn a plan into targets: weighted ones first, then the rest as a fallback."""
+    chosen: list[TargetRow] = []
+    others: list[TargetRow] = []
+    for region, targets in seats.items():
+        weight = plan.fractions.get(region, 0.0) / len(targets)
+        for target in targets:
+            row = TargetRow(target.seat, target.address, round(weight, 4))
+            (chosen if weight > MIN_WEIGHT else others).append(row)
+    chosen.sort(key=lambda row: (-row.weight, row.seat))
+    others.sort(key=lambda row: row.seat)
+    return AnswerRow(plan.pool, plan.region, [*chosen, *others], ANSWER_LIFETIME_S)
--- /dev/null
+++ b/src/rhubarbspan/systems/suspicion.py
@@ -0,0 +1,102 @@
+"""Finds requests that crash the backend servers that run them, and quarantines them."""
+
+from ..effects import Effects, Level, LogChange
+from ..inputs import Inbox, PeerReceived, Timer
+from ..peer_messages import Heartbeat, SuspectNotice
+from ..tables.requests import RequestRow
+from ..tables.servers import ServerRow
+from ..tables.suspects import SuspectRow
+from ..world import World
+
+N_DEATHS_TO_QUARANTINE = 2
+QUARANTINE_S = 600.0
+MEMORY_S = 600.0
+
+
+def share_suspicions(world: World, now_s: float, inbox: Inbox) -> Effects:
+    """Take in what peers say of suspects, and forget old ones."""
+    effects: Effects = []
+    for received in inbox.of(PeerReceived):
+        match received.message:
+            case Heartbeat(suspects=notices) if notices:
+                for notice in notices:
+                    effects += _merge(world, now_s, notice)
+    if inbox.due(Timer.STEERING):
+        _forget_old(world, now_s)
+    return effects
+
+
+def suspect(world: World, now_s: float, row: RequestRow, server: ServerRow) -> Effects:
+    """Note that a server's connection broke while it ran a request.
+
+    Requests lost in the same life of a server count as present at one death.
+    """
+    if not row.fingerprint:
+        return []
+    death = f"{server.server_id}/{server.generation}"
+    victims = world.suspects.victims.setdefault(death, set())
+    victims.add(row.fingerprint)
+    suspected = world.suspects.of(row.fingerprint)
+    suspected.last_death_s = now_s
+    for fingerprint in victims:
+        world.suspects.of(fingerprint).deaths[death] = len(victims)
+    world.deadlines.arm(now_s, Timer.HEARTBEAT, "extra")
+    return _judge(world, now_s, suspected)
+
+
+def acquit(world: World, row: RequestRow) -> None:
+    """Clear a request of the deaths so far: it has just run without harm."""
+    suspected = world.suspects.get(row.fingerprint) if row.fingerprint else None
+    if suspected is None:
+        return
+    suspected.cleared.update(dict.fromkeys(suspected.deaths))
+    suspected.quarantined_until_s = -1e9
+
+
+def is_suspect(world: World, fingerprint: str) -> bool:
+    """Tell whether a request was present at a death and not cleared since."""
+    row = world.suspects.get(fingerprint) if fingerprint else None
+    return row is not None and bool(_open_deaths(row))
+
+
+def is_quarantined(world: World, now_s: float, fingerprint: str) -> bool:
+    """Tell whether a request must not run."""
+    row = world.suspects.get(fingerprint) if fingerprint else None
+    return row is not None and now_s < row.quarantined_until_s
+
+
+def _open_deaths(row: SuspectRow) -> list[str]:
+    return [death for death in row.deaths if death not in row.cleared]
+
+
+def _judge(world: World, now_s: float, row: SuspectRow) -> Effects:
+    if len(_open_deaths(row)) < N_DEATHS_TO_QUARANTINE:
+        return []
+    is_new = row.quarantined_until_s <= now_s
+    row.quarantined_until_s = now_s + QUARANTINE_S
+    if not is_new:
+        return []
+    world.count("quarantined")
+    text = f"request {row.fingerprint} quarantined: present at two server deaths"
+    return [LogChange(Level.WARNING, text)]
+
+
+def _merge(world: World, now_s: float, notice: SuspectNotice) -> Effects:
+    row = world.suspects.of(notice.fingerprint)
+    n_known = len(row.deaths) + len(row.cleared)
+    for death, n_suspects in zip(notice.deaths, notice.n_suspects, strict=False):
+        row.deaths[death] = max(n_suspects, row.deaths.get(death, 0))
+    row.cleared.update(dict.fromkeys(notice.cleared))
+    if len(row.deaths) + len(row.cleared) == n_known:
+        return []
+    row.last_death_s = now_s
+    return _judge(world, now_s, row)
+
+
+def _forget_old(world: World, now_s: float) -> None:
+    for row in world.suspects.rows():
+        is_over = row.quarantined_until_s <= now_s
+        if is_over and now_s - row.last_death_s > MEMORY_S:
+            world.suspects.remove(row.fingerprint)
+    if not world.suspects.rows():
+        world.suspects.victims.clear()
--- /dev/null
+++ b/src/rhubarbspan/tables/__init__.py
@@ -0,0 +1,1 @@
+"""Tables of entities: keyed rows that hold data only, with the indexes they need."""
--- /dev/null
+++ b/src/rhubarbspan/tables/answers.py
@@ -0,0 +1,45 @@
+"""The table of prepared look-up answers."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class TargetRow:
+    """One entry instance in a look-up answer."""
+
+    seat: str
+    address: str
+    weight: float
+
+
+@dataclass(slots=True)
+class AnswerRow:
+    """The answer for one pool and one region of callers.
+
+    Attributes:
+        targets: Instances, preferred ones first.
+        lifetime_s: How long a caller may use the answer.
+    """
+
+    pool: str
+    region: str
+    targets: list[TargetRow]
+    lifetime_s: float
+
+
+@dataclass(slots=True)
+class PlanRow:
+    """Shares of a region's requests for a pool that each region serves."""
+
+    pool: str
+    region: str
+    fractions: dict[str, float]
+    planned_s: float
+
+
+@dataclass(slots=True)
+class Answers:
+    """Answers and plans by pool and region."""
+
+    answers: dict[tuple[str, str], AnswerRow] = field(default_factory=dict)
+    plans: dict[tuple[str, str], PlanRow] = field(default_factory=dict)
--- /dev/null
+++ b/src/rhubarbspan/tables/buckets.py
@@ -0,0 +1,156 @@
+"""The table of token buckets, one row for each client account."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class ShareRow:
+    """A share of an account's limit that this instance may mint from.
+
+    Attributes:
+        home: Seat that owns the share.
+        until_s: When the right to mint ends.
+        delegation_id: Number of the delegation, 0 for the instance's own share.
+    """
+
+    home: str
+    rate_per_s: float
+    burst: float
+    until_s: float
+    home_incarnation: int = 0
+    delegation_id: int = 0
+    asked_s: float = 0.0
+
+
+@dataclass(slots=True)
+class LoanRow:
+    """Tokens lent to another instance and not yet known to be spent."""
+
+    loan_id: int
+    borrower: str
+    n_tokens: int
+    n_open: int
+    until_s: float
+    n_returned: int = 0
+
+
+@dataclass(slots=True)
+class BorrowedRow:
+    """Tokens borrowed from a holder."""
+
+    loan_id: int
+    holder: str
+    holder_incarnation: int
+    n_tokens: int
+    until_s: float
+    n_spent: int = 0
+    n_returned: int = 0
+    n_reported: int = 0
+
+    @property
+    def n_left(self) -> int:
+        """Tokens that can still be spent."""
+        return self.n_tokens - self.n_spent - self.n_returned
+
+
+@dataclass(slots=True)
+class WantRow:
+    """A request for tokens that could not be met at once.
+
+    Attributes:
+        borrower: Seat that asked, or an empty string for a local request.
+        request_id: The local request, or 0.
+    """
+
+    borrower: str
+    borrower_incarnation: int
+    request_id: int
+    n_tokens: int
+    asked_s: float
+    until_s: float
+
+
+@dataclass(slots=True)
+class DelegatedRow:
+    """The instance's own share while another instance mints from it."""
+
+    holder: str
+    holder_incarnation: int
+    delegation_id: int
+    until_s: float
+
+
+@dataclass(slots=True)
+class BucketRow:
+    """An account's tokens at this instance.
+
+    Attributes:
+        n_tokens: Tokens at ``minted_s``.
+        minted_s: Up to when tokens were minted.
+        shares: Shares that this instance mints from, by home seat.
+        own_rate_per_s: Rate of the own home share, wherever it is minted.
+        own_burst: Burst of the own home share.
+        delegated: Where the own home share is, or None if it is here.
+        loans: Tokens lent to others, by number of the loan.
+        borrowed: Tokens borrowed from others, by holder and number of the loan.
+        wants: Unmet wants in order of arrival, local and remote.
+        n_asked: Tokens asked for and not yet granted.
+        asked_until_s: When what was asked for counts as lost.
+        asked_s: When tokens were last asked for.
+        holder: Seat that should mint the account's shares, in this one's view.
+        demand_per_s: Smoothed rate of arrivals at ``demand_s``.
+        wake_s: The deadline that is armed for the next token.
+        ramp_s: Time over which the rate rises from zero, for shifts.
+        returned_s: When shares were given back, by home seat; grants that were
+            asked for earlier are void.
+    """
+
+    account: str
+    n_tokens: float = 0.0
+    minted_s: float = 0.0
+    shares: dict[str, ShareRow] = field(default_factory=dict)
+    own_rate_per_s: float = 0.0
+    own_burst: float = 0.0
+    pending_rate_per_s: float = 0.0
+    pending_burst: float = 0.0
+    delegated: DelegatedRow | None = None
+    n_delegations: int = 0
+    loans: dict[int, LoanRow] = field(default_factory=dict)
+    borrowed: dict[tuple[str, int, int], BorrowedRow] = field(default_factory=dict)
+    wants: deque[WantRow] = field(default_factory=deque)
+    n_asked: int = 0
+    asked_until_s: float = 0.0
+    demand_per_s: float = 0.0
+    demand_s: float = 0.0
+    holder: str = ""
+    asked_s: float = -1e9
+    wake_s: float = 0.0
+    ramp_s: float = 0.0
+    ramp_start_s: float = 0.0
+    returned_s: dict[str, float] = field(default_factory=dict)
+
+
+class Buckets:
+    """Buckets by account."""
+
+    __slots__ = ("_rows",)
+
+    def __init__(self) -> None:
+        self._rows: dict[str, BucketRow] = {}
+
+    def get(self, account: str) -> BucketRow | None:
+        """Return a row, or None if the account does not exist."""
+        return self._rows.get(account)
+
+    def add(self, row: BucketRow) -> None:
+        """Add a row."""
+        self._rows[row.account] = row
+
+    def remove(self, account: str) -> None:
+        """Remove a row."""
+        del self._rows[account]
+
+    def rows(self) -> list[BucketRow]:
+        """List all rows."""
+        return list(self._rows.values())
--- /dev/null
+++ b/src/rhubarbspan/tables/queues.py
@@ -0,0 +1,54 @@
+"""The table of queues, one for each pool, with a lane for each client account."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class LaneRow:
+    """Requests of one client account that wait for a pool."""
+
+    account: str
+    request_ids: deque[int] = field(default_factory=deque)
+
+
+@dataclass(slots=True)
+class QueueRow:
+    """Requests that wait for a pool's slots.
+
+    Attributes:
+        lanes: Lanes that are not empty, in the order of their next turn.
+        service_s: Smoothed time that a request holds a slot.
+        arrivals_per_s: Smoothed rate of requests for the pool.
+    """
+
+    pool: str
+    lanes: dict[str, LaneRow] = field(default_factory=dict)
+    n_queued: int = 0
+    service_s: float = 0.05
+    arrivals_per_s: float = 0.0
+    arrivals_s: float = 0.0
+    n_arrived: int = 0
+    retry_budget: float = 10.0
+
+
+class Queues:
+    """Queues by pool, and the set of pools whose queue or slots changed."""
+
+    __slots__ = ("_rows", "dirty")
+
+    def __init__(self) -> None:
+        self._rows: dict[str, QueueRow] = {}
+        self.dirty: set[str] = set()
+
+    def of(self, pool: str) -> QueueRow:
+        """Return the queue of a pool, made when first asked for."""
+        row = self._rows.get(pool)
+        if row is None:
+            row = QueueRow(pool)
+            self._rows[pool] = row
+        return row
+
+    def rows(self) -> list[QueueRow]:
+        """List all queues."""
+        return list(self._rows.values())
--- /dev/null
+++ b/src/rhubarbspan/tables/servers.py
@@ -0,0 +1,95 @@
+"""The table of backend servers, indexed by pool and region."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class ServerRow:
+    """One backend server.
+
+    Attributes:
+        running: Requests of this instance in flight on it, with the attempt's number.
+        n_reported: Requests in flight by its own report, from all sources.
+        reported_s: When the report arrived.
+        is_listed_leaving: Whether the platform's list shows it as leaving.
+        is_refusing: Whether its own report says that it takes no new work.
+        is_drained: Whether an operator drains it.
+        cold_since_s: When it came up, for the ramp of its share.
+        failure_rate: Smoothed share of attempts that failed.
+        ejected_until_s: Until when it gets no work because it failed.
+        n_ejections: Ejections without a success between them.
+        generation: Identifies one life of the server's process.
+        left_generation: The life in which it was last seen leaving.
+        shed_until_s: Until when it gets no more work because it shed some.
+        n_foreign: Smoothed number of slots that others than instances use.
+        n_lent: Slots lent to other instances.
+        n_live_listings: Consecutive listings as live after one as leaving.
+        n_recent: Attempts that the smoothed failure rate rests on.
+    """
+
+    server_id: str
+    pool: str
+    address: str
+    data_centre: str
+    region: str
+    running: dict[int, int] = field(default_factory=dict)
+    n_reported: int = 0
+    reported_s: float = -1e9
+    is_listed: bool = True
+    is_listed_leaving: bool = False
+    is_refusing: bool = False
+    is_drained: bool = False
+    left_generation: str = ""
+    cold_since_s: float = -1e9
+    failure_rate: float = 0.0
+    ejected_until_s: float = -1e9
+    n_ejections: int = 0
+    n_failed_probes: int = 0
+    generation: str = ""
+    last_success_s: float = -1e9
+    shed_until_s: float = -1e9
+    n_foreign: float = 0.0
+    n_lent: int = 0
+    n_live_listings: int = 0
+    n_recent: int = 0
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether any sign says that the server must get no new work."""
+        return self.is_listed_leaving or self.is_refusing or self.is_drained
+
+
+class Servers:
+    """Backend servers by identifier."""
+
+    __slots__ = ("_rows", "_by_pool")
+
+    def __init__(self) -> None:
+        self._rows: dict[str, ServerRow] = {}
+        self._by_pool: dict[tuple[str, str], dict[str, ServerRow]] = {}
+
+    def get(self, server_id: str) -> ServerRow | None:
+        """Return a row, or None."""
+        return self._rows.get(server_id)
+
+    def add(self, row: ServerRow) -> None:
+        """Add a row."""
+        self._rows[row.server_id] = row
+        self._by_pool.setdefault((row.pool, row.region), {})[row.server_id] = row
+
+    def remove(self, row: ServerRow) -> None:
+        """Remove a row."""
+        del self._rows[row.server_id]
+        del self._by_pool[row.pool, row.region][row.server_id]
+
+    def in_region(self, pool: str, region: str) -> list[ServerRow]:
+        """List a pool's servers in a region."""
+        return list(self._by_pool.get((pool, region), {}).values())
+
+    def of_pool(self, pool: str) -> list[ServerRow]:
+        """List a pool's servers everywhere."""
+        return [row for row in self._rows.values() if row.pool == pool]
+
+    def rows(self) -> list[ServerRow]:
+        """List all servers."""
+        return list(self._rows.values())
--- /dev/null
+++ b/src/rhubarbspan/tables/slot_loans.py
@@ -0,0 +1,61 @@
+"""The table of backend server slots that are lent and borrowed."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class LentSlotRow:
+    """A slot of an own server that another instance uses."""
+
+    loan_id: int
+    server_id: str
+    pool: str
+    borrower: str
+    until_s: float
+
+
+@dataclass(slots=True)
+class BorrowedSlotRow:
+    """A slot of another instance's server.
+
+    Attributes:
+        request_id: The request that holds the slot, or 0.
+    """
+
+    loan_id: int
+    owner: str
+    owner_incarnation: int
+    server_id: str
+    address: str
+    pool: str
+    region: str
+    until_s: float
+    request_id: int = 0
+
+
+@dataclass(slots=True)
+class SlotAskRow:
+    """A request for slots that waits for its answer."""
+
+    number: int
+    owner: str
+    pool: str
+    n_slots: int
+    until_s: float
+
+
+@dataclass(slots=True)
+class SlotLoans:
+    """Slots lent by number, borrowed by owner and number, and open requests.
+
+    Attributes:
+        barred: Owners that had none to spare, by pool and seat, and until when they
+            are not asked again.
+    """
+
+    lent: dict[int, LentSlotRow] = field(default_factory=dict)
+    borrowed: dict[tuple[str, int, int], BorrowedSlotRow] = field(default_factory=dict)
+    asks: dict[int, SlotAskRow] = field(default_factory=dict)
+    barred: dict[tuple[str, str], float] = field(default_factory=dict)
+    n_loans: int = 0
+    n_asks: int = 0
--- /dev/null
+++ b/src/rhubarbspan/tables/suspects.py
@@ -0,0 +1,46 @@
+"""The table of fingerprints that were in flight when backend servers died."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class SuspectRow:
+    """One suspected request.
+
+    Attributes:
+        deaths: For each death of a server, how many requests were in flight.
+        cleared: Deaths of which a later success acquits the request.
+        quarantined_until_s: Until when the request is refused.
+    """
+
+    fingerprint: str
+    deaths: dict[str, int] = field(default_factory=dict)
+    cleared: dict[str, None] = field(default_factory=dict)
+    last_death_s: float = 0.0
+    quarantined_until_s: float = -1e9
+
+
+class Suspects:
+    """Suspects by fingerprint, and the fingerprints present at each death."""
+
+    __slots__ = ("_rows", "victims")
+
+    def __init__(self) -> None:
+        self._rows: dict[str, SuspectRow] = {}
+        self.victims: dict[str, set[str]] = {}
+
+    def get(self, fingerprint: str) -> SuspectRow | None:
+        """Return a row, or None."""
+        return self._rows.get(fingerprint)
+
+    def of(self, fingerprint: str) -> SuspectRow:
+        """Return the row of a fingerprint, made when first asked for."""
+        return self._rows.setdefault(fingerprint, SuspectRow(fingerprint))
+
+    def remove(self, fingerprint: str) -> None:
+        """Remove a row."""
+        del self._rows[fingerprint]
+
+    def rows(self) -> list[SuspectRow]:
+        """List all rows."""
+        return list(self._rows.values())
--- /dev/null
+++ b/src/rhubarbspan/verdict.py
@@ -0,0 +1,68 @@
+"""Verdicts, which say whether a request may have run, and failures with a reason."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Reason(Enum):
+    """Why a request was refused or lost, in the form that callers see."""
+
+    UNKNOWN_ROUTE = "unknown-route"
+    BAD_REQUEST = "bad-request"
+    BAD_KEY = "bad-key"
+    OVER_RATE = "over-rate"
+    NO_SERVER = "no-server"
+    QUEUE_FULL = "queue-full"
+    DEADLINE = "deadline"
+    QUARANTINED = "quarantined"
+    KEY_MISSING = "idempotency-key-missing"
+    CLAIM_UNKNOWN = "claim-unknown"
+    DUPLICATE = "duplicate"
+    CONNECT_FAILED = "connect-failed"
+    CONNECTION_LOST = "connection-lost"
+    TRUNCATED = "truncated-answer"
+    SHED = "shed"
+    CANCELLED = "cancelled"
+    STALE_CONFIGURATION = "stale-configuration"
+    NOT_READY = "not-ready"
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """A backend server gave a whole answer.
+
+    Attributes:
+        status: HTTP status of the answer.
+    """
+
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """The request certainly did not run on any backend server."""
+
+    reason: Reason
+
+
+@dataclass(frozen=True, slots=True)
+class MayHaveRun:
+    """The request may have run, wholly or in part."""
+
+    reason: Reason
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """A sentinel that stands for a failed operation.
+
+    Attributes:
+        code: Short name of the kind of failure.
+        reason: One sentence for an operator.
+    """
+
+    code: str
+    reason: str
+
+
+Verdict = Answered | NotRun | MayHaveRun
--- /dev/null
+++ b/src/rhubarbspan/world.py
@@ -0,0 +1,132 @@
+"""The world: all tables of one instance."""
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+from .configuration import Configuration
+from .document import Change, Snapshot
+from .inputs import Timer
+from .policies import Policies
+from .tables.answers import Answers
+from .tables.buckets import Buckets
+from .tables.claims import Claims
+from .tables.deadlines import Deadlines
+from .tables.history import History
+from .tables.peers import Peers
+from .tables.queues import Queues
+from .tables.requests import RequestRow, Requests
+from .tables.servers import ServerRow, Servers
+from .tables.slot_loans import SlotLoans
+from .tables.suspects import Suspects
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Who this instance is.
+
+    Attributes:
+        seat: Name of the seat that it occupies.
+        incarnation: Number of this life, larger than that of any earlier one.
+    """
+
+    seat: str
+    data_centre: str
+    region: str
+    incarnation: int
+    address: str = ""
+    peer_address: str = ""
+
+
+@dataclass(slots=True)
+class ConfigurationState:
+    """Which configuration is in force and how it got here.
+
+    Attributes:
+        snapshot: The document in force.
+        changes: Recent changes, oldest first, kept to pass on to peers.
+        confirmed_s: When the store was last known to have nothing newer.
+        asked_s: When a peer was last asked for configuration.
+    """
+
+    snapshot: Snapshot = field(default_factory=lambda: Snapshot(0, {}))
+    changes: list[Change] = field(default_factory=list)
+    in_force_s: float = 0.0
+    confirmed_s: float = -1e9
+    asked_s: float = -1e9
+
+
+@dataclass(slots=True)
+class Departure:
+    """The state of a graceful stop."""
+
+    started_s: float
+    serve_until_s: float
+    is_over: bool = False
+
+
+@dataclass(slots=True)
+class World:
+    """All tables of one instance, and its source of randomness.
+
+    Attributes:
+        counters: Counts by name and label, published as metrics.
+        started_s: When the instance started.
+        owned: Servers by pool whose slots this instance hands out.
+        is_configuration_new: Whether a revision came into force in this tick.
+        unconfirmed_seats: Seats whose old shares may still be in use, with the
+            revision that they have to confirm before shares here may grow.
+        known_seats: Seats of the configuration before.
+        confirmed_seats_revision: Revision of the places that was last considered.
+        is_first_seats: Whether those are the first places since the start.
+        has_peer_list: Whether the platform's list of instances was read.
+        new_requests: Rows that were added in this tick.
+        thirsty: Accounts whose wants or tokens changed in this tick.
+        n_sequence: Number of the newest heartbeat.
+    """
+
+    identity: Identity
+    started_s: float
+    policies: Policies = field(default_factory=Policies)
+    rng: random.Random = field(default_factory=random.Random)
+    configuration: Configuration = field(default_factory=Configuration)
+    configuration_state: ConfigurationState = field(default_factory=ConfigurationState)
+    requests: Requests = field(default_factory=Requests)
+    servers: Servers = field(default_factory=Servers)
+    peers: Peers = field(default_factory=Peers)
+    buckets: Buckets = field(default_factory=Buckets)
+    queues: Queues = field(default_factory=Queues)
+    suspects: Suspects = field(default_factory=Suspects)
+    answers: Answers = field(default_factory=Answers)
+    history: History = field(default_factory=History)
+    deadlines: Deadlines = field(default_factory=Deadlines)
+    counters: Counter[tuple[str, str]] = field(default_factory=Counter)
+    claims: Claims = field(default_factory=Claims)
+    slot_loans: SlotLoans = field(default_factory=SlotLoans)
+    owned: dict[str, list[ServerRow]] = field(default_factory=dict)
+    departure: Departure | None = None
+    is_configuration_new: bool = False
+    unconfirmed_seats: dict[str, int] = field(default_factory=dict)
+    known_seats: list[str] = field(default_factory=list)
+    confirmed_seats_revision: int = -1
+    is_first_seats: bool = False
+    has_peer_list: bool = False
+    new_requests: list[RequestRow] = field(default_factory=list)
+    thirsty: dict[str, None] = field(default_factory=dict)
+    n_sequence: int = 0
+    n_loans: int = 0
+
+    def count(self, name: str, label: str = "", n: int = 1) -> None:
+        """Add to a counter."""
+        self.counters[name, label] += n
+
+
+def create_world(
+    identity: Identity, now_s: float, policies: Policies, seed: int
+) -> World:
+    """Create a world with its periodic deadlines armed."""
+    world = World(identity, now_s, policies, random.Random(seed))
+    world.history.started_s = now_s
+    world.deadlines.arm(now_s, Timer.HEARTBEAT, "")
+    world.deadlines.arm(now_s, Timer.STEERING, "")
+    return world
