--- /dev/null
+++ b/src/rhubarbspan/edge/daemon.py
@@ -0,0 +1,166 @@
+"""One entry instance: its world, its ticker and its edges."""
+
+import asyncio
+import signal
+import time
+from collections.abc import Callable
+
+import logbook
+
+from ..clock import read_clock_s
+from ..effects import (
+    AbortAttempt,
+    AnswerCaller,
+    Effect,
+    Exit,
+    Level,
+    LogChange,
+    SendPeer,
+    StartAttempt,
+    WriteClaim,
+)
+from ..inputs import PeerListing, PeersListed, StopRequested
+from ..policies import Policies
+from ..settings import Settings
+from ..verdict import Failure
+from ..world import Identity, create_world
+from .backend import BackendClient
+from .exchange import Exchanges
+from .peers import PeerEdge
+from .platform_client import PlatformClient
+from .probing import Prober
+from .server import CallerServer
+from .store import HttpStore
+from .ticker import Ticker
+
+LOG = logbook.Logger("rhubarbspan")
+N_CONNECTIONS_PER_SERVER = 48
+MS_PER_S = 1000
+
+
+class Daemon:
+    """Connects the parts of one instance."""
+
+    __slots__ = (
+        "settings",
+        "world",
+        "ticker",
+        "stopped",
+        "_exchanges",
+        "_server",
+        "_backend",
+        "_peers",
+        "_platform",
+        "_prober",
+    )
+
+    def __init__(
+        self,
+        settings: Settings,
+        policies: Policies | None = None,
+        clock: Callable[[], float] = read_clock_s,
+    ) -> None:
+        self.settings = settings
+        identity = Identity(
+            settings.seat,
+            settings.data_centre,
+            settings.region,
+            int(time.time() * MS_PER_S),
+            settings.listen,
+            settings.peer_listen,
+        )
+        seed = identity.incarnation
+        self.world = create_world(identity, clock(), policies or Policies(), seed)
+        self.ticker = Ticker(self.world, clock)
+        self.stopped = asyncio.Event()
+        self._exchanges = Exchanges()
+        self._server = CallerServer(self.ticker, self._exchanges)
+        self._backend = BackendClient(
+            self.ticker, self._exchanges, N_CONNECTIONS_PER_SERVER
+        )
+        self._peers = PeerEdge(self.ticker)
+        store = HttpStore(settings.store)
+        self._platform = PlatformClient(self.ticker, store, settings.service)
+        self._prober = Prober(self.ticker)
+
+    async def start(self) -> Failure | None:
+        """Listen and begin to work.
+
+        Returns:
+            A failure if an address cannot be used.
+        """
+        self.ticker.effects.subscribe(on_next=self._carry_out)
+        failure = await self._peers.start(self.settings.peer_listen)
+        if failure is not None:
+            return failure
+        host, _, port = self.settings.listen.rpartition(":")
+        try:
+            await self._server.start(host.strip("[]"), int(port))
+        except OSError as error:
+            text = f"cannot listen on {self.settings.listen}: {error.strerror}"
+            return Failure("listen", text)
+        self.ticker.start()
+        self._offer_seeds()
+        self._platform.start()
+        self._prober.start()
+        LOG.info("{}: listening on {}", self.settings.seat, self.settings.listen)
+        return None
+
+    def request_stop(self) -> None:
+        """Begin to leave gracefully."""
+        self.ticker.inputs.on_next(StopRequested())
+
+    async def run(self) -> None:
+        """Wait until the instance has left, then close everything."""
+        await self.stopped.wait()
+        await self.close()
+
+    async def close(self) -> None:
+        """Close everything; answers under way are finished first."""
+        await self._server.stop()
+        self.ticker.stop()
+        await self._prober.stop()
+        await self._platform.stop()
+        await self._peers.stop()
+        await self._backend.close()
+
+    def _offer_seeds(self) -> None:
+        peers = [
+            PeerListing(seat, address, "", seat.rpartition("-")[0])
+            for seat, address in self.settings.seeds
+        ]
+        if peers:
+            self.ticker.inputs.on_next(PeersListed(peers, is_seed=True))
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case AnswerCaller():
+                self._server.answer(effect)
+            case StartAttempt():
+                self._backend.start(effect)
+            case AbortAttempt():
+                self._backend.abort(effect)
+            case SendPeer():
+                self._peers.send(effect)
+            case WriteClaim():
+                self._platform.claim(effect)
+            case LogChange(level=Level.WARNING, text=text):
+                LOG.warning("{}: {}", self.settings.seat, text)
+            case LogChange(text=text):
+                LOG.info("{}: {}", self.settings.seat, text)
+            case Exit():
+                self.stopped.set()
+
+
+async def serve(settings: Settings) -> Failure | None:
+    """Run an instance until it is asked to stop by SIGTERM or SIGINT."""
+    daemon = Daemon(settings)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, daemon.request_stop)
+    failure = await daemon.start()
+    if failure is not None:
+        await daemon.close()
+        return failure
+    await daemon.run()
+    return None
--- /dev/null
+++ b/src/rhubarbspan/edge/peers.py
@@ -0,0 +1,138 @@
+"""Exchanges messages with other instances over long-lived gRPC streams."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import grpc
+import grpc.aio
+
+from ..effects import SendPeer
+from ..inputs import PeerReceived
+from ..verdict import Failure
+from ..wire.peer import (
+    MAX_MESSAGE_BYTES,
+    decode_message,
+    encode_message,
+)
+from .ticker import Ticker
+
+SERVICE = "rhubarbspan.Peer"
+METHOD = "Send"
+RECONNECT_S = 0.5
+N_MAX_PENDING = 1000
+OPTIONS = [
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.so_reuseport", 0),
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.initial_reconnect_backoff_ms", 200),
+    ("grpc.max_reconnect_backoff_ms", 1000),
+    ("grpc.keepalive_time_ms", 10_000),
+]
+
+
+class PeerStream:
+    """The stream of messages to one instance; messages may be lost."""
+
+    __slots__ = ("address", "_queue", "_task")
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._queue: asyncio.Queue[bytes] = asyncio.Queue(N_MAX_PENDING)
+        self._task = asyncio.create_task(self._run())
+
+    def send(self, data: bytes) -> bool:
+        """Queue a message; return False if too many are waiting."""
+        try:
+            self._queue.put_nowait(data)
+        except asyncio.QueueFull:
+            return False
+        return True
+
+    async def close(self) -> None:
+        """End the stream."""
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        async with grpc.aio.insecure_channel(self.address, options=OPTIONS) as channel:
+            send = channel.stream_unary(f"/{SERVICE}/{METHOD}")
+            while True:
+                try:
+                    await send(self._messages())
+                except grpc.aio.AioRpcError:
+                    self._drop_pending()
+                await asyncio.sleep(RECONNECT_S)
+
+    async def _messages(self) -> AsyncIterator[bytes]:
+        while True:
+            yield await self._queue.get()
+
+    def _drop_pending(self) -> None:
+        # Old messages are worth nothing after a lost connection.
+        while not self._queue.empty():
+            self._queue.get_nowait()
+
+
+class PeerEdge:
+    """Receives messages from other instances and sends them."""
+
+    __slots__ = ("_ticker", "_server", "_streams", "n_bytes_sent")
+
+    def __init__(self, ticker: Ticker) -> None:
+        self._ticker = ticker
+        self._server: grpc.aio.Server | None = None
+        self._streams: dict[str, PeerStream] = {}
+        self.n_bytes_sent = 0
+
+    async def start(self, address: str) -> Failure | None:
+        """Listen for other instances."""
+        server = grpc.aio.server(options=OPTIONS)
+        handler = grpc.stream_unary_rpc_method_handler(self._receive)
+        generic = grpc.method_handlers_generic_handler(SERVICE, {METHOD: handler})
+        server.add_generic_rpc_handlers((generic,))
+        try:
+            server.add_insecure_port(address)
+        except RuntimeError as error:
+            return Failure("listen", f"cannot listen on {address}: {error}")
+        await server.start()
+        self._server = server
+        return None
+
+    async def stop(self) -> None:
+        """Close all streams."""
+        for stream in self._streams.values():
+            await stream.close()
+        if self._server is not None:
+            await self._server.stop(None)
+
+    def send(self, effect: SendPeer) -> None:
+        """Send a message to an instance if its address is known."""
+        row = self._ticker.world.peers.get(effect.seat)
+        if row is None or not row.peer_address:
+            return
+        stream = self._streams.get(effect.seat)
+        if stream is not None and stream.address != row.peer_address:
+            asyncio.get_running_loop().create_task(stream.close())
+            stream = None
+        if stream is None:
+            stream = PeerStream(row.peer_address)
+            self._streams[effect.seat] = stream
+        data = encode_message(effect.message)
+        self.n_bytes_sent += len(data)
+        world = self._ticker.world
+        world.count("peer_messages_sent", type(effect.message).__name__)
+        world.count("peer_bytes_sent", "", len(data))
+        if not stream.send(data):
+            world.count("peer_messages_dropped")
+
+    async def _receive(
+        self, messages: AsyncIterator[bytes], context: grpc.aio.ServicerContext
+    ) -> bytes:
+        async for data in messages:
+            message = decode_message(data)
+            if isinstance(message, Failure):
+                self._ticker.world.count("peer_messages_malformed")
+                continue
+            self._ticker.inputs.on_next(PeerReceived(message))
+        return b""
--- /dev/null
+++ b/src/rhubarbspan/edge/platform_client.py
@@ -0,0 +1,194 @@
+"""Keeps the world in touch with the platform: configuration, lists and claims."""
+
+import asyncio
+from collections.abc import Coroutine
+
+from ..effects import WriteClaim
+from ..inputs import (
+    ClaimResult,
+    ClaimSettled,
+    ConfigurationOffered,
+    PeersListed,
+    ServersListed,
+    StoreContacted,
+)
+from ..platform import Committed, Conflict, Operation, Verb
+from ..publishing import read_stored
+from ..verdict import Failure
+from ..wire.consul import to_peer_listing, to_server_listing
+from .store import HttpStore
+from .ticker import Ticker
+
+LIST_INTERVAL_S = 1.0
+RETRY_S = 0.5
+CLAIM_BATCH_S = 0.003
+N_CLAIMS_PER_BATCH = 32
+CLAIM_SESSION_TTL_S = 86_400.0
+CLAIM_SESSION_USE_S = 900.0
+CLAIMS_PREFIX = "rhubarbspan/claims/"
+
+
+class PlatformClient:
+    """Reads configuration and lists, and writes claims in batches."""
+
+    __slots__ = (
+        "_ticker",
+        "_store",
+        "_service",
+        "_tasks",
+        "_claims",
+        "_is_flushing",
+        "_session",
+        "_session_until_s",
+    )
+
+    def __init__(self, ticker: Ticker, store: HttpStore, service: str) -> None:
+        self._ticker = ticker
+        self._store = store
+        self._service = service
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._claims: list[WriteClaim] = []
+        self._is_flushing = False
+        self._session = ""
+        self._session_until_s = 0.0
+
+    def start(self) -> None:
+        """Start to watch configuration and lists."""
+        self._spawn(self._watch_configuration())
+        self._spawn(self._poll_lists())
+
+    async def stop(self) -> None:
+        """Stop watching and close the connections."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._store.close()
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _watch_configuration(self) -> None:
+        index = 0
+        while True:
+            known = self._ticker.world.configuration_state.snapshot
+            stored = await read_stored(self._store, known, index)
+            if isinstance(stored, Failure):
+                self._ticker.world.count("store_failures", stored.code)
+                index = 0
+                await asyncio.sleep(RETRY_S)
+                continue
+            index = stored.watch_index
+            if stored.snapshot.revision > known.revision:
+                offer = ConfigurationOffered(stored.snapshot, stored.changes, True)
+                self._ticker.inputs.on_next(offer)
+            else:
+                self._ticker.inputs.on_next(StoreContacted(stored.head.revision))
+
+    async def _poll_lists(self) -> None:
+        while True:
+            await self._read_instances()
+            for pool in list(self._ticker.world.configuration.pools):
+                await self._read_servers(pool)
+            await asyncio.sleep(LIST_INTERVAL_S)
+
+    async def _read_instances(self) -> None:
+        services = await self._store.list_processes(self._service)
+        if isinstance(services, Failure):
+            self._ticker.world.count("store_failures", services.code)
+            return
+        peers = [to_peer_listing(service) for service in services]
+        self._ticker.inputs.on_next(PeersListed(peers))
+
+    async def _read_servers(self, pool: str) -> None:
+        services = await self._store.list_processes(pool)
+        if isinstance(services, Failure):
+            self._ticker.world.count("store_failures", services.code)
+            return
+        servers = [to_server_listing(pool, service) for service in services]
+        self._ticker.inputs.on_next(ServersListed(pool, servers))
+
+    def claim(self, effect: WriteClaim) -> None:
+        """Add a claim to the next batch."""
+        self._claims.append(effect)
+        if not self._is_flushing:
+            self._is_flushing = True
+            self._spawn(self._flush_claims())
+
+    async def _flush_claims(self) -> None:
+        await asyncio.sleep(CLAIM_BATCH_S)
+        self._is_flushing = False
+        while self._claims:
+            batch = self._claims[:N_CLAIMS_PER_BATCH]
+            del self._claims[:N_CLAIMS_PER_BATCH]
+            self._spawn(self._write_batch(batch))
+
+    async def _write_batch(self, batch: list[WriteClaim]) -> None:
+        """Write a batch; claims that exist already are left out of the next try."""
+        session = await self._claim_session()
+        if isinstance(session, Failure):
+            for claim in batch:
+                self._settle(claim, ClaimResult.NOT_WRITTEN)
+            return
+        while batch:
+            result = await self._store.transact(_claim_operations(batch, session))
+            match result:
+                case Committed():
+                    for claim in batch:
+                        self._settle(claim, ClaimResult.OURS)
+                    return
+                case Conflict(n_operations=failed):
+                    taken = {number // 2 for number in failed}
+                    if not taken:
+                        taken = set(range(len(batch)))
+                    for number in taken:
+                        self._spawn(self._read_back(batch[number]))
+                    batch = [c for n, c in enumerate(batch) if n not in taken]
+                case Failure():
+                    self._ticker.world.count("store_failures", result.code)
+                    self._session_until_s = 0.0
+                    for claim in batch:
+                        self._spawn(self._read_back(claim))
+                    return
+
+    async def _claim_session(self) -> str | Failure:
+        """Return the lease under which claims are kept, and lapse together."""
+        now_s = self._ticker.now_s()
+        if now_s < self._session_until_s:
+            return self._session
+        session = await self._store.open_session(CLAIM_SESSION_TTL_S)
+        if isinstance(session, Failure):
+            return session
+        self._session = session
+        self._session_until_s = now_s + CLAIM_SESSION_USE_S
+        return session
+
+    async def _read_back(self, claim: WriteClaim) -> None:
+        """Find out whose claim the store holds."""
+        while True:
+            reading = await self._store.read(CLAIMS_PREFIX + claim.key)
+            if not isinstance(reading, Failure):
+                break
+            if self._ticker.now_s() + RETRY_S >= claim.give_up_s:
+                self._settle(claim, ClaimResult.UNKNOWN)
+                return
+            await asyncio.sleep(RETRY_S / 5)
+        if not reading.entries:
+            self._settle(claim, ClaimResult.UNKNOWN)
+            return
+        is_ours = reading.entries[0].value == claim.nonce.encode()
+        self._settle(claim, ClaimResult.OURS if is_ours else ClaimResult.TAKEN)
+
+    def _settle(self, claim: WriteClaim, result: ClaimResult) -> None:
+        self._ticker.inputs.on_next(ClaimSettled(claim.request_id, result))
+
+
+def _claim_operations(batch: list[WriteClaim], session: str) -> list[Operation]:
+    operations: list[Operation] = []
+    for claim in batch:
+        key = CLAIMS_PREFIX + claim.key
+        value = claim.nonce.encode()
+        operations.append(Operation(Verb.CHECK_ABSENT, key))
+        operations.append(Operation(Verb.LOCK, key, value, session=session))
+    return operations
--- /dev/null
+++ b/src/rhubarbspan/edge/probing.py
@@ -0,0 +1,87 @@
+"""Asks backend servers for their health and load."""
+
+import asyncio
+
+import aiohttp
+import msgspec
+
+from ..inputs import ProbeFailed, ServerProbed
+from ..tables.servers import ServerRow
+from .ticker import Ticker
+
+PROBE_INTERVAL_S = 1.0
+PROBE_TIMEOUT_S = 0.8
+HEALTH_PATH = "/health"
+MAX_HEALTH_BYTES = 4096
+HTTP_OK = 200
+
+
+class HealthBody(msgspec.Struct):
+    """A backend server's report.
+
+    Attributes:
+        in_flight: Requests that it runs.
+        accepting: Whether it takes new work.
+        generation: Identifies one life of its process.
+    """
+
+    in_flight: int = 0
+    accepting: bool = True
+    generation: str = ""
+
+
+class Prober:
+    """Probes the servers of the own region and those handed out here."""
+
+    __slots__ = ("_ticker", "_session", "_task")
+
+    def __init__(self, ticker: Ticker) -> None:
+        self._ticker = ticker
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(PROBE_TIMEOUT_S)
+        )
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Start to probe."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop probing."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        await self._session.close()
+
+    async def _run(self) -> None:
+        while True:
+            servers = self._watched()
+            await asyncio.gather(*(self._probe(server) for server in servers))
+            await asyncio.sleep(PROBE_INTERVAL_S)
+
+    def _watched(self) -> list[ServerRow]:
+        world = self._ticker.world
+        owned = {row.server_id for rows in world.owned.values() for row in rows}
+        return [
+            row
+            for row in world.servers.rows()
+            if row.region == world.identity.region or row.server_id in owned
+        ]
+
+    async def _probe(self, server: ServerRow) -> None:
+        url = f"http://{server.address}{HEALTH_PATH}"
+        try:
+            async with self._session.get(url, allow_redirects=False) as answer:
+                body = await answer.content.read(MAX_HEALTH_BYTES)
+                is_ok = answer.status == HTTP_OK
+            health = msgspec.json.decode(body, type=HealthBody)
+        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
+            self._ticker.inputs.on_next(ProbeFailed(server.server_id))
+            return
+        probed = ServerProbed(
+            server.server_id,
+            max(0, health.in_flight),
+            health.accepting and is_ok,
+            health.generation,
+        )
+        self._ticker.inputs.on_next(probed)
--- /dev/null
+++ b/src/rhubarbspan/edge/server.py
@@ -0,0 +1,202 @@
+"""The HTTP server for callers: look-ups, requests, status and metrics."""
+
+import asyncio
+
+import msgspec
+import xxhash
+from aiohttp import web
+
+from ..configuration import place_of_block
+from ..effects import AnswerCaller
+from ..inputs import CallerGone, RequestArrived
+from ..report.burn import summarise_history
+from ..report.metrics import render_metrics
+from ..report.status import describe_status
+from ..verdict import Answered, MayHaveRun, NotRun, Reason
+from ..wire.http import (
+    IDEMPOTENCY_HEADER,
+    MAX_IDEMPOTENCY_KEY_LENGTH,
+    read_key_hash,
+    read_timeout_s,
+    refusal_status,
+    verdict_headers,
+)
+from .exchange import Exchange, Exchanges
+from .ticker import Ticker
+
+BUFFERED_BODY_BYTES = 65_536
+BODY_TIMEOUT_S = 10.0
+MAX_FIELD_BYTES = 16_384
+KEEPALIVE_S = 60.0
+
+
+class CallerServer:
+    """Answers callers."""
+
+    __slots__ = ("_ticker", "_exchanges", "_runner")
+
+    def __init__(self, ticker: Ticker, exchanges: Exchanges) -> None:
+        self._ticker = ticker
+        self._exchanges = exchanges
+        self._runner: web.AppRunner | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen."""
+        application = web.Application()
+        application.router.add_get("/-/lookup", self._look_up)
+        application.router.add_get("/-/status", self._status)
+        application.router.add_get("/-/history", self._history)
+        application.router.add_get("/-/health", self._health)
+        application.router.add_get("/metrics", self._metrics)
+        application.router.add_route("*", "/{path:.*}", self._proxy)
+        self._runner = web.AppRunner(
+            application,
+            access_log=None,
+            handler_cancellation=True,
+            keepalive_timeout=KEEPALIVE_S,
+            max_field_size=MAX_FIELD_BYTES,
+            shutdown_timeout=KEEPALIVE_S,
+            auto_decompress=False,
+        )
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, host, port, reuse_address=True)
+        await site.start()
+
+    async def stop(self) -> None:
+        """Stop listening and wait for the answers under way."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _look_up(self, request: web.Request) -> web.Response:
+        world = self._ticker.world
+        route = world.configuration.routes.get(request.query.get("route", ""))
+        if route is None:
+            return _error(404, "unknown route")
+        block = request.query.get("block", request.remote or "")
+        place = place_of_block(world.configuration, block)
+        if place is None and "block" in request.query:
+            return _error(400, "the block is no IP network, or in no data centre")
+        region = world.identity.region
+        if place is not None:
+            region = world.configuration.region_of(place)
+        answer = world.answers.answers.get((route.pool, region))
+        if answer is None or not answer.targets:
+            return _error(503, "no instance is known")
+        world.count("lookups")
+        headers = {"Cache-Control": f"max-age={int(answer.lifetime_s)}"}
+        return _json(answer, headers)
+
+    async def _status(self, request: web.Request) -> web.Response:
+        return _json(describe_status(self._ticker.world, self._ticker.now_s()))
+
+    async def _history(self, request: web.Request) -> web.Response:
+        return _json(summarise_history(self._ticker.world, self._ticker.now_s()))
+
+    async def _health(self, request: web.Request) -> web.Response:
+        world = self._ticker.world
+        is_ready = world.configuration.revision > 0
+        is_leaving = world.departure is not None
+        text = "leaving" if is_leaving else "ready" if is_ready else "starting"
+        return web.Response(status=200 if text == "ready" else 503, text=text)
+
+    async def _metrics(self, request: web.Request) -> web.Response:
+        body = render_metrics(self._ticker.world, self._ticker.n_ticks)
+        return web.Response(body=body, content_type="text/plain", charset="utf-8")
+
+    async def _proxy(self, request: web.Request) -> web.StreamResponse:
+        self._exchanges.n_requests += 1
+        request_id = self._exchanges.n_requests
+        arrived = await self._receive(request, request_id)
+        if isinstance(arrived, NotRun):
+            return _refusal(AnswerCaller(request_id, arrived))
+        loop = asyncio.get_running_loop()
+        body = request["body"]
+        exchange = Exchange(request_id, request, body, loop.create_future())
+        self._exchanges.rows[request_id] = exchange
+        try:
+            self._ticker.inputs.on_next(arrived)
+            decision = await exchange.closed
+        except asyncio.CancelledError:
+            exchange.is_caller_gone = True
+            self._ticker.inputs.on_next(CallerGone(request_id))
+            raise
+        return _close(exchange, decision)
+
+    async def _receive(
+        self, request: web.Request, request_id: int
+    ) -> RequestArrived | NotRun:
+        """Read the head of a request, and the body if it is short."""
+        key = request.headers.get(IDEMPOTENCY_HEADER, "")
+        timeout_s = read_timeout_s(request.headers)
+        if len(key) > MAX_IDEMPOTENCY_KEY_LENGTH or timeout_s is None:
+            return NotRun(Reason.BAD_REQUEST)
+        length = request.content_length
+        if not request.can_read_body:
+            length = 0
+        body: bytes | None = None
+        if length is not None and length <= BUFFERED_BODY_BYTES:
+            try:
+                async with asyncio.timeout(BODY_TIMEOUT_S):
+                    body = await request.read()
+            except (TimeoutError, ConnectionError, web.HTTPException):
+                return NotRun(Reason.BAD_REQUEST)
+        request["body"] = body
+        head = f"{request.method} {request.raw_path} {length}\n".encode()
+        return RequestArrived(
+            request_id,
+            request.path,
+            read_key_hash(request.headers),
+            key,
+            xxhash.xxh64_hexdigest(head + (body or b"")),
+            body is not None,
+            -1 if length is None else length,
+            timeout_s,
+        )
+
+    def answer(self, effect: AnswerCaller) -> None:
+        """Carry out a final decision about a request."""
+        exchange = self._exchanges.rows.pop(effect.request_id, None)
+        if exchange is not None and not exchange.closed.done():
+            exchange.closed.set_result(effect)
+
+
+def _close(exchange: Exchange, decision: AnswerCaller) -> web.StreamResponse:
+    response = exchange.response
+    match decision.verdict:
+        case Answered() if response is not None:
+            return response
+        case _:
+            pass
+    if response is None or not response.prepared:
+        return _refusal(decision)
+    # Part of an answer went out: the caller must see that it is not whole.
+    transport = exchange.request.transport
+    if transport is not None:
+        transport.abort()
+    return response
+
+
+def _refusal(decision: AnswerCaller) -> web.Response:
+    verdict = decision.verdict
+    if isinstance(verdict, Answered):
+        verdict = MayHaveRun(Reason.CONNECTION_LOST)
+    headers = verdict_headers(verdict)
+    if decision.retry_after_s > 0:
+        headers["Retry-After"] = str(max(1, round(decision.retry_after_s)))
+    return web.Response(
+        status=refusal_status(verdict),
+        headers=headers,
+        text=f"{verdict.reason.value}\n",
+    )
+
+
+def _json(value: object, headers: dict[str, str] | None = None) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(value),
+        content_type="application/json",
+        headers=headers,
+    )
+
+
+def _error(status: int, text: str) -> web.Response:
+    return web.json_response({"error": text}, status=status)
--- /dev/null
+++ b/src/rhubarbspan/edge/store.py
@@ -0,0 +1,151 @@
+"""A client of the platform's key-value service and of its list of processes."""
+
+from dataclasses import dataclass
+
+import aiohttp
+
+from ..platform import (
+    STORE_DOWN,
+    STORE_GARBAGE,
+    STORE_UNCLEAR,
+    Committed,
+    Conflict,
+    Operation,
+    Reading,
+    TransactionResult,
+)
+from ..verdict import Failure
+from ..wire import consul
+
+WAIT_S = 30.0
+CALL_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S = 1.0
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+HTTP_CONFLICT = 409
+
+
+@dataclass(slots=True)
+class HttpAnswer:
+    """An answer of the store.
+
+    Attributes:
+        index: The store's index, 0 if the answer has none.
+    """
+
+    status: int
+    body: bytes
+    index: int
+
+
+class HttpStore:
+    """The store over HTTP.
+
+    Attributes:
+        address: IP number and port.
+    """
+
+    __slots__ = ("address", "_session")
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._session: aiohttp.ClientSession | None = None
+
+    def session(self) -> aiohttp.ClientSession:
+        """Return the HTTP session, opened when first needed."""
+        if self._session is None:
+            timeout = aiohttp.ClientTimeout(CALL_TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
+            self._session = aiohttp.ClientSession(timeout=timeout)
+        return self._session
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def read(
+        self, key: str, is_prefix: bool = False, after_index: int = 0
+    ) -> Reading | Failure:
+        """Read a key or a prefix; see ``platform.Store``."""
+        query = {}
+        timeout_s = CALL_TIMEOUT_S
+        if is_prefix:
+            query["recurse"] = "true"
+        if after_index:
+            query["index"] = str(after_index)
+            query["wait"] = f"{WAIT_S:g}s"
+            timeout_s += WAIT_S
+        answer = await self._call("GET", f"/v1/kv/{key}", b"", query, timeout_s)
+        match answer:
+            case Failure():
+                return answer
+            case HttpAnswer(status=status, body=body, index=index):
+                if status == HTTP_NOT_FOUND:
+                    return Reading([], index)
+                if status != HTTP_OK:
+                    return Failure(STORE_GARBAGE, f"the store answered {status}")
+                entries = consul.decode_entries(body)
+                if isinstance(entries, Failure):
+                    return entries
+                return Reading(entries, index)
+
+    async def transact(self, operations: list[Operation]) -> TransactionResult:
+        """Carry out a transaction; see ``platform.Store``."""
+        body = consul.encode_transaction(operations)
+        answer = await self._call("PUT", "/v1/txn", body, {}, CALL_TIMEOUT_S)
+        if isinstance(answer, Failure):
+            return answer
+        if answer.status == HTTP_OK:
+            return Committed()
+        if answer.status != HTTP_CONFLICT:
+            return Failure(STORE_UNCLEAR, f"the store answered {answer.status}")
+        failed = consul.decode_transaction_errors(answer.body)
+        if isinstance(failed, Failure):
+            return failed
+        return Conflict(failed)
+
+    async def open_session(self, ttl_s: float) -> str | Failure:
+        """Open a lease; see ``platform.Store``."""
+        text = f'{{"TTL": "{ttl_s:g}s", "Behavior": "delete", "LockDelay": "0s"}}'
+        answer = await self._call(
+            "PUT", "/v1/session/create", text.encode(), {}, CALL_TIMEOUT_S
+        )
+        if isinstance(answer, Failure):
+            return answer
+        if answer.status != HTTP_OK:
+            return Failure(STORE_UNCLEAR, f"the store answered {answer.status}")
+        return consul.decode_session(answer.body)
+
+    async def list_processes(self, service: str) -> list[consul.ServiceBody] | Failure:
+        """Read the platform's list of the processes of a service."""
+        path = f"/v1/health/service/{service}"
+        answer = await self._call("GET", path, b"", {}, CALL_TIMEOUT_S)
+        if isinstance(answer, Failure):
+            return answer
+        if answer.status != HTTP_OK:
+            return Failure(STORE_GARBAGE, f"the list answered {answer.status}")
+        return consul.decode_services(answer.body)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        query: dict[str, str],
+        timeout_s: float,
+    ) -> HttpAnswer | Failure:
+        timeout = aiohttp.ClientTimeout(timeout_s, connect=CONNECT_TIMEOUT_S)
+        url = f"http://{self.address}{path}"
+        try:
+            async with self.session().request(
+                method, url, params=query, data=body, timeout=timeout
+            ) as response:
+                index = response.headers.get(consul.INDEX_HEADER, "0")
+                content = await response.read()
+                number = int(index) if index.isdigit() else 0
+                return HttpAnswer(response.status, content, number)
+        except aiohttp.ClientConnectorError as error:
+            return Failure(STORE_DOWN, f"cannot connect to {self.address}: {error}")
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            kind = type(error).__name__
+            return Failure(STORE_UNCLEAR, f"no answer from {self.address}: {kind}")
--- /dev/null
+++ b/src/rhubarbspan/edge/ticker.py
@@ -0,0 +1,88 @@
+"""Drives the world: collects inputs, runs ticks, and passes the effects on."""
+
+import asyncio
+from collections.abc import Callable
+
+from reactivex import Subject
+
+from ..effects import Effect
+from ..inputs import Input
+from ..tick import run_tick
+from ..world import World
+
+
+class Ticker:
+    """Runs a tick when inputs arrived or a deadline is due; it sleeps otherwise.
+
+    Attributes:
+        inputs: Takes inputs from the edge.
+        effects: Gives each effect to those who subscribed.
+    """
+
+    __slots__ = (
+        "world",
+        "inputs",
+        "effects",
+        "_clock",
+        "_loop",
+        "_pending",
+        "_is_scheduled",
+        "_timer",
+        "_subscription",
+        "n_ticks",
+    )
+
+    def __init__(self, world: World, clock: Callable[[], float]) -> None:
+        self.world = world
+        self.inputs: Subject[Input] = Subject()
+        self.effects: Subject[Effect] = Subject()
+        self._clock = clock
+        self._loop = asyncio.get_running_loop()
+        self._pending: list[Input] = []
+        self._is_scheduled = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._subscription = self.inputs.subscribe(on_next=self._collect)
+        self.n_ticks = 0
+
+    def now_s(self) -> float:
+        """Read the clock that the ticks go by."""
+        return self._clock()
+
+    def start(self) -> None:
+        """Run the first tick, which arms the first deadlines."""
+        self._schedule()
+
+    def stop(self) -> None:
+        """Run no more ticks."""
+        self._subscription.dispose()
+        self._is_scheduled = True
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _collect(self, item: Input) -> None:
+        self._pending.append(item)
+        self._schedule()
+
+    def _schedule(self) -> None:
+        if self._is_scheduled:
+            return
+        self._is_scheduled = True
+        self._loop.call_soon(self._run)
+
+    def _run(self) -> None:
+        self._is_scheduled = False
+        inputs = self._pending
+        self._pending = []
+        self.n_ticks += 1
+        for effect in run_tick(self.world, self._clock(), inputs):
+            self.effects.on_next(effect)
+        self._arm_timer()
+
+    def _arm_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        next_s = self.world.deadlines.next_s()
+        if next_s is not None:
+            delay_s = max(0.0, next_s - self._clock())
+            self._timer = self._loop.call_later(delay_s, self._schedule)
--- /dev/null
+++ b/src/rhubarbspan/fleet_client.py
@@ -0,0 +1,135 @@
+"""Asks the entry instances for their status, for the operators' tools."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import aiohttp
+import msgspec
+
+from .edge.store import HttpStore
+from .report.burn import HistorySummary
+from .report.status import InstanceStatus
+from .verdict import Failure
+from .wire.consul import to_peer_listing
+
+ASK_TIMEOUT_S = 2.0
+POLL_INTERVAL_S = 0.2
+
+
+@dataclass(slots=True)
+class Target:
+    """An instance that can be asked."""
+
+    seat: str
+    data_centre: str
+    address: str
+
+
+@dataclass(slots=True)
+class FleetStatus:
+    """The status of the instances that answered, and those that did not."""
+
+    instances: list[InstanceStatus] = field(default_factory=list)
+    not_asked: list[str] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class WaitResult:
+    """Where a revision is in force.
+
+    Attributes:
+        behind: Instances that answered with an older revision.
+        not_asked: Instances that did not answer, with their data centres.
+    """
+
+    in_force: list[str] = field(default_factory=list)
+    behind: list[str] = field(default_factory=list)
+    not_asked: list[str] = field(default_factory=list)
+
+
+async def find_instances(
+    store: HttpStore, service: str, entries: list[str]
+) -> list[Target] | Failure:
+    """List the instances on the platform's list and those named by address."""
+    targets = [Target(entry, "", entry) for entry in entries]
+    services = await store.list_processes(service)
+    if isinstance(services, Failure):
+        return targets or services
+    for found in services:
+        peer = to_peer_listing(found)
+        if peer.address not in entries:
+            targets.append(Target(peer.seat, peer.data_centre, peer.address))
+    return targets
+
+
+async def ask_status(targets: list[Target]) -> FleetStatus:
+    """Ask all instances for their status."""
+    status = FleetStatus()
+    answers = await asyncio.gather(*(_get(t, "/-/status") for t in targets))
+    for target, body in zip(targets, answers, strict=True):
+        decoded = _decode(body, InstanceStatus)
+        if isinstance(decoded, InstanceStatus):
+            status.instances.append(decoded)
+        else:
+            status.not_asked.append(_describe(target))
+    status.instances.sort(key=lambda row: row.seat)
+    return status
+
+
+async def ask_history(targets: list[Target]) -> tuple[list[HistorySummary], list[str]]:
+    """Ask all instances for their results; also list those that did not answer."""
+    summaries: list[HistorySummary] = []
+    not_asked: list[str] = []
+    answers = await asyncio.gather(*(_get(t, "/-/history") for t in targets))
+    for target, body in zip(targets, answers, strict=True):
+        decoded = _decode(body, HistorySummary)
+        if isinstance(decoded, HistorySummary):
+            summaries.append(decoded)
+        else:
+            not_asked.append(_describe(target))
+    return summaries, not_asked
+
+
+async def wait_in_force(
+    targets: list[Target], revision: int, timeout_s: float
+) -> WaitResult:
+    """Wait until a revision is in force on all instances that can be asked."""
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + timeout_s
+    while True:
+        status = await ask_status(targets)
+        result = WaitResult(not_asked=status.not_asked)
+        for row in status.instances:
+            is_there = row.revision >= revision
+            (result.in_force if is_there else result.behind).append(row.seat)
+        is_done = not result.behind and not result.not_asked
+        if is_done or loop.time() >= end_s:
+            return result
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+
+def _describe(target: Target) -> str:
+    if target.data_centre:
+        return f"{target.seat} in {target.data_centre}"
+    return target.seat
+
+
+def _decode(body: bytes | None, kind: type) -> object:
+    if body is None:
+        return None
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.MsgspecError:
+        return None
+
+
+async def _get(target: Target, path: str) -> bytes | None:
+    timeout = aiohttp.ClientTimeout(ASK_TIMEOUT_S)
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.get(f"http://{target.address}{path}") as answer,
+        ):
+            return await answer.read()
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        return None
--- /dev/null
+++ b/src/rhubarbspan/publishing.py
@@ -0,0 +1,335 @@
+"""Reads and changes the operators' configuration in the platform's store.
+
+The store holds a head, recent changes, and a snapshot in parts. A change is
+accepted when the head moves by compare-and-swap; the change travels as a difference.
+"""
+
+import uuid
+from dataclasses import dataclass
+
+import msgspec
+
+from .checking import Problem, check_document
+from .document import (
+    Change,
+    Document,
+    Snapshot,
+    apply_change,
+    apply_changes,
+    changes_places,
+    compare_documents,
+)
+from .platform import (
+    STORE_GARBAGE,
+    STORE_UNCLEAR,
+    Committed,
+    Conflict,
+    Operation,
+    Store,
+    Verb,
+)
+from .verdict import Failure
+
+ROOT = "rhubarbspan/config"
+HEAD_KEY = f"{ROOT}/head"
+CHANGES_PREFIX = f"{ROOT}/changes/"
+PART_LIMIT_BYTES = 400_000
+N_CHANGES_KEPT = 64
+SNAPSHOT_EVERY = 32
+MAX_SINGLE_READS = 4
+N_LOST_ANSWERS_RESOLVED = 5
+
+
+@dataclass(slots=True)
+class Head:
+    """The newest accepted revision, and where a snapshot lies.
+
+    Attributes:
+        snapshot_path: Prefix of the snapshot's parts, empty if there is none.
+    """
+
+    revision: int = 0
+    seats_revision: int = 0
+    author: str = ""
+    change_id: str = ""
+    snapshot_revision: int = 0
+    snapshot_seats_revision: int = 0
+    snapshot_path: str = ""
+
+
+@dataclass(slots=True)
+class Stored:
+    """The configuration as the store holds it.
+
+    Attributes:
+        index: The index of the head, for compare-and-swap; 0 if there is none.
+        watch_index: The store's index, to wait for a later one.
+        changes: The recent changes that were read.
+    """
+
+    head: Head
+    index: int
+    watch_index: int
+    snapshot: Snapshot
+    changes: list[Change]
+
+
+@dataclass(slots=True)
+class Applied:
+    """A change was accepted."""
+
+    revision: int
+
+
+@dataclass(slots=True)
+class Superseded:
+    """Another operator changed the configuration first."""
+
+    revision: int
+    author: str
+
+
+@dataclass(slots=True)
+class Rejected:
+    """The document has problems."""
+
+    problems: list[Problem]
+
+
+ApplyResult = Applied | Superseded | Rejected | Failure
+
+
+async def read_head(
+    store: Store, after_index: int = 0
+) -> tuple[Head, int, int] | Failure:
+    """Read the head, its index, and the store's index."""
+    reading = await store.read(HEAD_KEY, after_index=after_index)
+    if isinstance(reading, Failure):
+        return reading
+    if not reading.entries:
+        return Head(), 0, reading.index
+    entry = reading.entries[0]
+    try:
+        head = msgspec.json.decode(entry.value, type=Head)
+    except msgspec.MsgspecError as error:
+        return Failure(STORE_GARBAGE, f"{HEAD_KEY} is malformed: {error}")
+    return head, entry.index, reading.index
+
+
+async def read_stored(
+    store: Store, known: Snapshot | None = None, after_index: int = 0
+) -> Stored | Failure:
+    """Read the configuration, as changes to what is known where that suffices.
+
+    Args:
+        store: The store.
+        known: The snapshot that the reader has.
+        after_index: If positive, wait until the store's index is above it.
+    """
+    found = await read_head(store, after_index)
+    if isinstance(found, Failure):
+        return found
+    head, index, watch_index = found
+    base = known or Snapshot(0, {})
+    if head.revision <= base.revision:
+        return Stored(head, index, watch_index, base, [])
+    if head.snapshot_revision > base.revision and not _is_near(head, base):
+        read = await _read_snapshot(store, head)
+        if isinstance(read, Failure):
+            return read
+        base = read
+    changes = await _read_changes(store, base.revision, head.revision)
+    if isinstance(changes, Failure):
+        return changes
+    snapshot = apply_changes(base, changes)
+    if snapshot is None or snapshot.revision < head.revision:
+        if known is not None and known.revision > 0:
+            return await read_stored(store, None)
+        return Failure(STORE_GARBAGE, f"{CHANGES_PREFIX} lacks a revision")
+    return Stored(head, index, watch_index, snapshot, changes)
+
+
+def _is_near(head: Head, base: Snapshot) -> bool:
+    return base.revision > 0 and head.revision - base.revision < N_CHANGES_KEPT // 2
+
+
+async def _read_snapshot(store: Store, head: Head) -> Snapshot | Failure:
+    reading = await store.read(head.snapshot_path, is_prefix=True)
+    if isinstance(reading, Failure):
+        return reading
+    document: Document = {}
+    try:
+        for entry in reading.entries:
+            document.update(msgspec.json.decode(entry.value, type=Document))
+    except msgspec.MsgspecError as error:
+        return Failure(STORE_GARBAGE, f"{head.snapshot_path} is malformed: {error}")
+    return Snapshot(head.snapshot_revision, document, head.snapshot_seats_revision)
+
+
+async def _read_changes(
+    store: Store, after_revision: int, revision: int
+) -> list[Change] | Failure:
+    if revision - after_revision <= MAX_SINGLE_READS:
+        keys = [change_key(n) for n in range(after_revision + 1, revision + 1)]
+        readings = [await store.read(key) for key in keys]
+    else:
+        readings = [await store.read(CHANGES_PREFIX, is_prefix=True)]
+    changes: list[Change] = []
+    for reading in readings:
+        if isinstance(reading, Failure):
+            return reading
+        for entry in reading.entries:
+            try:
+                change = msgspec.json.decode(entry.value, type=Change)
+            except msgspec.MsgspecError as error:
+                return Failure(STORE_GARBAGE, f"{entry.key} is malformed: {error}")
+            if after_revision < change.revision <= revision:
+                changes.append(change)
+    return changes
+
+
+def change_key(revision: int) -> str:
+    """Return the key of a change; keys sort in the order of revisions."""
+    return f"{CHANGES_PREFIX}{revision:012d}"
+
+
+async def apply_document(
+    store: Store, document: Document, author: str, expected_revision: int
+) -> ApplyResult:
+    """Replace the configuration by compare-and-swap on its revision.
+
+    Args:
+        store: The store.
+        document: The whole new document.
+        author: Who makes the change.
+        expected_revision: The revision that the author started from.
+
+    Returns:
+        Applied, or why not; an answer that the store lost is resolved by reading
+        back.
+    """
+    _, problems = check_document(document, expected_revision + 1)
+    if problems:
+        return Rejected(problems)
+    stored = await read_stored(store)
+    if isinstance(stored, Failure):
+        return stored
+    if stored.head.revision != expected_revision:
+        return Superseded(stored.head.revision, stored.head.author)
+    change_id = uuid.uuid4().hex
+    change = compare_documents(
+        stored.snapshot.document, document, expected_revision + 1, author, change_id
+    )
+    if not change.replaced and not change.removed:
+        return Applied(expected_revision)
+    return await _publish(store, stored, change)
+
+
+async def _publish(store: Store, stored: Stored, change: Change) -> ApplyResult:
+    head = _next_head(stored, change)
+    encoded = msgspec.json.encode(change)
+    is_large = len(encoded) > PART_LIMIT_BYTES
+    if is_large or change.revision % SNAPSHOT_EVERY == 0:
+        document = apply_change(stored.snapshot.document, change)
+        path = f"{ROOT}/snapshots/{change.revision:012d}-{change.change_id}/"
+        failure = await _write_snapshot(store, path, document)
+        if failure is not None:
+            return failure
+        head.snapshot_path = path
+        head.snapshot_revision = head.revision
+        head.snapshot_seats_revision = head.seats_revision
+    operations = [
+        Operation(Verb.CAS, HEAD_KEY, msgspec.json.encode(head), stored.index)
+    ]
+    if not is_large:
+        operations.append(Operation(Verb.SET, change_key(change.revision), encoded))
+    oldest = change.revision - N_CHANGES_KEPT
+    if 0 < oldest <= head.snapshot_revision:
+        operations.append(Operation(Verb.DELETE, change_key(oldest)))
+    return await _commit(store, operations, change)
+
+
+def _next_head(stored: Stored, change: Change) -> Head:
+    seats_revision = stored.head.seats_revision
+    if changes_places(change):
+        seats_revision = change.revision
+    return Head(
+        change.revision,
+        seats_revision,
+        change.author,
+        change.change_id,
+        stored.head.snapshot_revision,
+        stored.head.snapshot_seats_revision,
+        stored.head.snapshot_path,
+    )
+
+
+async def _write_snapshot(
+    store: Store, path: str, document: Document
+) -> Failure | None:
+    """Write a document in parts below the store's limit for values."""
+    part: Document = {}
+    n_bytes = 0
+    parts: list[Document] = []
+    for title, body in document.items():
+        size = len(msgspec.json.encode({title: body}))
+        if part and n_bytes + size > PART_LIMIT_BYTES:
+            parts.append(part)
+            part = {}
+            n_bytes = 0
+        part[title] = body
+        n_bytes += size
+    parts.append(part)
+    for number, content in enumerate(parts):
+        key = f"{path}{number:06d}"
+        operation = Operation(Verb.SET, key, msgspec.json.encode(content))
+        result = await store.transact([operation])
+        if isinstance(result, Failure):
+            return result
+    return None
+
+
+async def _commit(
+    store: Store, operations: list[Operation], change: Change
+) -> ApplyResult:
+    result = await store.transact(operations)
+    match result:
+        case Committed():
+            return Applied(change.revision)
+        case Conflict():
+            found = await read_head(store)
+            if isinstance(found, Failure):
+                return found
+            return Superseded(found[0].revision, found[0].author)
+        case Failure(code=code) if code != STORE_UNCLEAR:
+            return result
+        case Failure():
+            return await _resolve(store, change, result)
+
+
+async def _resolve(store: Store, change: Change, lost: Failure) -> ApplyResult:
+    """Find out whether a write whose answer was lost took effect."""
+    for _ in range(N_LOST_ANSWERS_RESOLVED):
+        stored = await read_stored(store)
+        if isinstance(stored, Failure):
+            continue
+        if stored.head.change_id == change.change_id:
+            return Applied(change.revision)
+        reading = await store.read(change_key(change.revision))
+        if isinstance(reading, Failure):
+            continue
+        for entry in reading.entries:
+            if change.change_id.encode() in entry.value:
+                return Applied(change.revision)
+        if stored.head.revision >= change.revision:
+            return Superseded(stored.head.revision, stored.head.author)
+        # The write may still be on its way; moving the head makes it void.
+        return Failure(
+            STORE_UNCLEAR,
+            f"change {change.change_id} is not in the store, but may still arrive: "
+            "run 'rhubarbspan config show' before trying again",
+        )
+    return Failure(
+        STORE_UNCLEAR,
+        f"change {change.change_id} may or may not have been accepted: {lost.reason}",
+    )
--- /dev/null
+++ b/src/rhubarbspan/report/__init__.py
@@ -0,0 +1,1 @@
+"""Reports: metrics, status and service-level burn."""
--- /dev/null
+++ b/src/rhubarbspan/report/burn.py
@@ -0,0 +1,145 @@
+"""Service-level burn: how fast each route spends its allowance of bad answers."""
+
+from collections import defaultdict
+from dataclasses import dataclass
+
+from ..tables.history import IntervalRow
+from ..world import World
+
+WINDOWS_S = {"5m": 300.0, "1h": 3600.0, "6h": 21_600.0, "3d": 259_200.0}
+
+
+@dataclass(slots=True)
+class WindowRow:
+    """Counts of one route and client account in one window.
+
+    Attributes:
+        n_good: Whole answers without a server error, slow ones included.
+        n_slow: Answers later than the latency objective.
+        n_failed: Server errors, and refusals that are the system's fault.
+        n_over_rate: Refusals over the account's rate, which do not count.
+    """
+
+    route: str
+    account: str
+    window: str
+    n_good: int
+    n_slow: int
+    n_failed: int
+    n_over_rate: int
+    availability_objective: float
+
+
+@dataclass(slots=True)
+class HistorySummary:
+    """What one instance remembers.
+
+    Attributes:
+        memory_s: How far back its memory reaches.
+    """
+
+    seat: str
+    memory_s: float
+    rows: list[WindowRow]
+
+
+@dataclass(slots=True)
+class BurnRow:
+    """The burn of one route and client account in one window.
+
+    Attributes:
+        burn_rate: Share of bad answers over the share that the objective allows;
+            1 spends the allowance exactly.
+    """
+
+    route: str
+    account: str
+    window: str
+    n_requests: int
+    n_bad: int
+    n_over_rate: int
+    burn_rate: float
+
+
+@dataclass(slots=True)
+class BurnReport:
+    """Burn over all instances that answered.
+
+    Attributes:
+        rows: The worst-served first.
+        missing: Windows that the memory of an instance does not cover, or
+            instances that could not be asked.
+    """
+
+    rows: list[BurnRow]
+    missing: list[str]
+
+
+def summarise_history(world: World, now_s: float) -> HistorySummary:
+    """Sum up the results that one instance remembers."""
+    rows: list[WindowRow] = []
+    for (route_name, _), intervals in world.history.rows.items():
+        route = world.configuration.routes.get(route_name)
+        if route is None:
+            continue
+        for window, length_s in WINDOWS_S.items():
+            recent = [row for row in intervals if row.start_s > now_s - length_s]
+            if recent:
+                objective = route.availability_objective
+                rows.append(_sum_up(recent, window, objective))
+    memory_s = now_s - world.history.started_s
+    return HistorySummary(world.identity.seat, memory_s, rows)
+
+
+def _sum_up(intervals: list[IntervalRow], window: str, objective: float) -> WindowRow:
+    return WindowRow(
+        intervals[0].route,
+        intervals[0].account,
+        window,
+        sum(row.n_good for row in intervals),
+        sum(row.n_slow for row in intervals),
+        sum(row.n_failed for row in intervals),
+        sum(row.n_over_rate for row in intervals),
+        objective,
+    )
+
+
+def combine_burn(summaries: list[HistorySummary], not_asked: list[str]) -> BurnReport:
+    """Add up the instances and compute burn rates.
+
+    Example:
+        >>> row = WindowRow("r", "a", "5m", 98, 0, 2, 5, 0.99)
+        >>> report = combine_burn([HistorySummary("a-1", 1e6, [row])], [])
+        >>> round(report.rows[0].burn_rate, 3)
+        2.0
+    """
+    sums: dict[tuple[str, str, str], list[WindowRow]] = defaultdict(list)
+    for summary in summaries:
+        for row in summary.rows:
+            sums[row.route, row.account, row.window].append(row)
+            sums[row.route, "*", row.window].append(row)
+    rows = [_burn(key, parts) for key, parts in sums.items()]
+    order = list(WINDOWS_S)
+    rows.sort(key=lambda r: (order.index(r.window), -r.burn_rate, r.route, r.account))
+    missing = [f"{seat}: could not be asked" for seat in not_asked]
+    for summary in summaries:
+        short = [w for w, length_s in WINDOWS_S.items() if summary.memory_s < length_s]
+        if short:
+            minutes = summary.memory_s / 60
+            missing.append(
+                f"{summary.seat}: remembers {minutes:.1f} minutes, "
+                f"so {', '.join(short)} are partial"
+            )
+    return BurnReport(rows, missing)
+
+
+def _burn(key: tuple[str, str, str], parts: list[WindowRow]) -> BurnRow:
+    route, account, window = key
+    n_slow = sum(part.n_slow for part in parts)
+    n_bad = n_slow + sum(part.n_failed for part in parts)
+    n_good = sum(part.n_good for part in parts)
+    n_requests = n_good + n_bad - n_slow
+    allowed = 1.0 - parts[0].availability_objective
+    rate = n_bad / n_requests / allowed if n_requests and allowed > 0 else 0.0
+    n_over_rate = sum(part.n_over_rate for part in parts)
+    return BurnRow(route, account, window, n_requests, n_bad, n_over_rate, rate)
--- /dev/null
+++ b/src/rhubarbspan/settings.py
@@ -0,0 +1,131 @@
+"""The settings of one daemon, read from an INI file."""
+
+import configparser
+import ipaddress
+from dataclasses import dataclass
+
+from .verdict import Failure
+
+SECTIONS: dict[str, tuple[str, ...]] = {
+    "instance": ("seat", "data_centre", "region", "listen", "peer_listen"),
+    "platform": ("store", "service"),
+    "peers": ("seeds",),
+    "log": ("level",),
+}
+LEVELS = ("DEBUG", "INFO", "NOTICE", "WARNING", "ERROR")
+MAX_PORT = 65535
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """What a daemon must know before it can reach the platform.
+
+    Attributes:
+        listen: IP number and port for callers.
+        peer_listen: IP number and port for other instances.
+        store: IP number and port of the platform's store.
+        service: Name of the instances' service in the platform's list.
+        seeds: Pairs of seat and peer address to try before the list is known.
+    """
+
+    seat: str
+    data_centre: str
+    region: str
+    listen: str
+    peer_listen: str
+    store: str
+    service: str = "rhubarbspan"
+    seeds: tuple[tuple[str, str], ...] = ()
+    log_level: str = "INFO"
+
+
+def read_settings(text: str, file: str) -> Settings | Failure:
+    """Parse and check the settings.
+
+    Returns:
+        The settings, or a failure that names file, section, key, value and what is
+        accepted, on one line.
+    """
+    parser = configparser.ConfigParser(interpolation=None, default_section="\0")
+    try:
+        parser.read_string(text, source=file)
+    except configparser.Error as error:
+        return Failure("malformed", f"{file}: {' '.join(str(error).split())}")
+    problem = _find_unknown(parser) or _find_bad_value(parser)
+    if problem is not None:
+        return Failure("settings", f"{file}: {problem}")
+    seeds = _read_seeds(parser.get("peers", "seeds", fallback=""))
+    return Settings(
+        parser["instance"]["seat"],
+        parser["instance"]["data_centre"],
+        parser["instance"]["region"],
+        parser["instance"]["listen"],
+        parser["instance"]["peer_listen"],
+        parser["platform"]["store"],
+        parser.get("platform", "service", fallback="rhubarbspan"),
+        seeds or (),
+        parser.get("log", "level", fallback="INFO"),
+    )
+
+
+def _find_unknown(parser: configparser.ConfigParser) -> str | None:
+    for section in parser.sections():
+        if section not in SECTIONS:
+            return f"[{section}]: accepted: {', '.join(SECTIONS)}"
+        for key, value in parser.items(section):
+            if key not in SECTIONS[section]:
+                accepted = ", ".join(SECTIONS[section])
+                return f"[{section}] {key}: {value!r}; accepted: {accepted}"
+    return None
+
+
+def _find_bad_value(parser: configparser.ConfigParser) -> str | None:
+    required = {"instance": SECTIONS["instance"], "platform": ("store",)}
+    for section, keys in required.items():
+        for key in keys:
+            value = parser.get(section, key, fallback="")
+            is_address = key in ("listen", "peer_listen", "store")
+            accepted = "an IP number and port" if is_address else "a name"
+            if not value:
+                return f"[{section}] {key}: missing; accepted: {accepted}"
+            if is_address and not is_ip_and_port(value):
+                return f"[{section}] {key}: {value!r}; accepted: {accepted}"
+    seat = parser["instance"]["seat"]
+    place, _, number = seat.rpartition("-")
+    if place != parser["instance"]["data_centre"] or not number.isdigit():
+        return f"[instance] seat: {seat!r}; accepted: the data centre, -, and a number"
+    if _read_seeds(parser.get("peers", "seeds", fallback="")) is None:
+        value = parser["peers"]["seeds"]
+        accepted = "SEAT=IP:PORT pairs separated by commas"
+        return f"[peers] seeds: {value!r}; accepted: {accepted}"
+    level = parser.get("log", "level", fallback="INFO")
+    if level not in LEVELS:
+        return f"[log] level: {level!r}; accepted: {', '.join(LEVELS)}"
+    return None
+
+
+def is_ip_and_port(text: str) -> bool:
+    """Tell whether a text is an IP number and a port.
+
+    Example:
+        >>> is_ip_and_port("127.0.0.1:80"), is_ip_and_port("localhost:80")
+        (True, False)
+    """
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    return port.isdigit() and 0 < int(port) <= MAX_PORT
+
+
+def _read_seeds(text: str) -> tuple[tuple[str, str], ...] | None:
+    seeds = []
+    for part in text.split(","):
+        if not part.strip():
+            continue
+        seat, _, address = part.strip().partition("=")
+        if not seat or not is_ip_and_port(address):
+            return None
+        seeds.append((seat, address))
+    return tuple(seeds)
--- /dev/null
+++ b/src/rhubarbspan/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Encodings: translate between typed messages and the formats on the wire."""
--- /dev/null
+++ b/src/rhubarbspan/wire/consul.py
@@ -0,0 +1,138 @@
+"""The platform's HTTP protocol: the key-value and health parts of Consul's API v1."""
+
+import base64
+import binascii
+
+import msgspec
+
+from ..inputs import PeerListing, ServerListing
+from ..platform import STORE_GARBAGE, Entry, Operation
+from ..verdict import Failure
+
+INDEX_HEADER = "X-Consul-Index"
+
+
+class KeyValueBody(msgspec.Struct, rename="pascal"):
+    """One entry of a key-value answer."""
+
+    key: str
+    value: str | None = None
+    modify_index: int = 0
+    session: str = ""
+
+
+class TransactionError(msgspec.Struct, rename="pascal"):
+    """One failed operation of a transaction."""
+
+    op_index: int
+    what: str = ""
+
+
+class TransactionBody(msgspec.Struct, rename="pascal"):
+    """The answer to a transaction."""
+
+    errors: list[TransactionError] | None = None
+
+
+class SessionBody(msgspec.Struct):
+    """The answer to the opening of a session."""
+
+    id: str = msgspec.field(name="ID")
+
+
+class ServiceBody(msgspec.Struct, rename="pascal"):
+    """One registered process."""
+
+    id: str = msgspec.field(name="ID")
+    address: str = ""
+    port: int = 0
+    meta: dict[str, str] = {}
+
+
+class ServiceEntryBody(msgspec.Struct, rename="pascal"):
+    """One entry of a health answer."""
+
+    service: ServiceBody
+
+
+def decode_entries(body: bytes) -> list[Entry] | Failure:
+    """Decode a key-value answer."""
+    try:
+        found = msgspec.json.decode(body, type=list[KeyValueBody])
+        return [
+            Entry(
+                item.key,
+                base64.b64decode(item.value or "", validate=True),
+                item.modify_index,
+                item.session,
+            )
+            for item in found
+        ]
+    except (msgspec.MsgspecError, binascii.Error) as error:
+        return Failure(STORE_GARBAGE, f"the store's answer is malformed: {error}")
+
+
+def encode_transaction(operations: list[Operation]) -> bytes:
+    """Encode a transaction."""
+    return msgspec.json.encode(
+        [
+            {
+                "KV": {
+                    "Verb": operation.verb.value,
+                    "Key": operation.key,
+                    "Value": base64.b64encode(operation.value).decode(),
+                    "Index": operation.index,
+                    "Session": operation.session,
+                }
+            }
+            for operation in operations
+        ]
+    )
+
+
+def decode_transaction_errors(body: bytes) -> list[int] | Failure:
+    """Decode which operations of a transaction failed."""
+    try:
+        decoded = msgspec.json.decode(body, type=TransactionBody)
+    except msgspec.MsgspecError as error:
+        return Failure(STORE_GARBAGE, f"the store's answer is malformed: {error}")
+    return [error.op_index for error in decoded.errors or []]
+
+
+def decode_session(body: bytes) -> str | Failure:
+    """Decode the identifier of a new session."""
+    try:
+        return msgspec.json.decode(body, type=SessionBody).id
+    except msgspec.MsgspecError as error:
+        return Failure(STORE_GARBAGE, f"the store's answer is malformed: {error}")
+
+
+def decode_services(body: bytes) -> list[ServiceBody] | Failure:
+    """Decode a health answer."""
+    try:
+        decoded = msgspec.json.decode(body, type=list[ServiceEntryBody])
+    except msgspec.MsgspecError as error:
+        return Failure(STORE_GARBAGE, f"the list's answer is malformed: {error}")
+    return [entry.service for entry in decoded]
+
+
+def to_server_listing(pool: str, service: ServiceBody) -> ServerListing:
+    """Translate a registered process to a backend server."""
+    return ServerListing(
+        service.id,
+        pool,
+        f"{service.address}:{service.port}",
+        service.meta.get("data_centre", ""),
+        service.meta.get("state") == "leaving",
+    )
+
+
+def to_peer_listing(service: ServiceBody) -> PeerListing:
+    """Translate a registered process to an entry instance."""
+    return PeerListing(
+        service.id,
+        service.meta.get("peer_address", ""),
+        f"{service.address}:{service.port}",
+        service.meta.get("data_centre", ""),
+        service.meta.get("state") == "leaving",
+    )
--- /dev/null
+++ b/src/rhubarbspan/wire/peer.py
@@ -0,0 +1,86 @@
+"""The encoding of messages between instances: MessagePack, without field names."""
+
+import dataclasses
+from typing import Any, get_args, get_type_hints
+
+import msgspec
+
+from ..peer_messages import PeerMessage
+from ..verdict import Failure
+
+# The position of a type is its number on the wire: new types go to the end, and so
+# do new fields, with a default.
+MESSAGE_TYPES: tuple[type[Any], ...] = get_args(PeerMessage)
+NUMBER_BY_TYPE = {kind: number for number, kind in enumerate(MESSAGE_TYPES)}
+MAX_MESSAGE_BYTES = 4_000_000
+
+
+def _mirror(kind: type[Any], made: dict[type[Any], type[Any]]) -> type[Any]:
+    """Make a structure that encodes a data class as an array of its fields."""
+    if kind in made:
+        return made[kind]
+    hints = get_type_hints(kind)
+    fields: list[tuple[str, Any, Any]] = []
+    for item in dataclasses.fields(kind):
+        default: Any = msgspec.NODEFAULT
+        if item.default is not dataclasses.MISSING:
+            default = item.default
+        elif item.default_factory is not dataclasses.MISSING:
+            default = msgspec.field(default_factory=item.default_factory)
+        fields.append((item.name, _mirror_hint(hints[item.name], made), default))
+    made[kind] = msgspec.defstruct(
+        kind.__name__,
+        [(n, t) if d is msgspec.NODEFAULT else (n, t, d) for n, t, d in fields],
+        array_like=True,
+    )
+    return made[kind]
+
+
+def _mirror_hint(hint: Any, made: dict[type[Any], type[Any]]) -> Any:
+    """Translate an annotation: lists of data classes and optional ones."""
+    if dataclasses.is_dataclass(hint) and isinstance(hint, type):
+        return _mirror(hint, made)
+    arguments = get_args(hint)
+    if not arguments:
+        return hint
+    if getattr(hint, "__origin__", None) is list:
+        return list[_mirror_hint(arguments[0], made)]  # type: ignore[misc]
+    if type(None) in arguments:
+        return _mirror_hint(arguments[0], made) | None
+    return hint
+
+
+_MADE: dict[type[Any], type[Any]] = {}
+_MIRRORS = [_mirror(kind, _MADE) for kind in MESSAGE_TYPES]
+_DECODERS: list[msgspec.msgpack.Decoder[Any]] = [
+    msgspec.msgpack.Decoder(mirror) for mirror in _MIRRORS
+]
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+def encode_message(message: PeerMessage) -> bytes:
+    """Encode a message.
+
+    Example:
+        >>> from rhubarbspan.peer_messages import SlotReturn
+        >>> decode_message(encode_message(SlotReturn("a-1", 1, 2, [3])))
+        SlotReturn(seat='a-1', incarnation=1, owner_incarnation=2, loan_ids=[3])
+    """
+    number = NUMBER_BY_TYPE[type(message)]
+    row = msgspec.convert(message, _MIRRORS[number], from_attributes=True)
+    return bytes([number]) + _ENCODER.encode(row)
+
+
+def decode_message(data: bytes) -> PeerMessage | Failure:
+    """Decode a message, or say why it cannot be decoded."""
+    if not data or data[0] >= len(MESSAGE_TYPES):
+        return Failure("unknown-message", "the message has an unknown type")
+    number = data[0]
+    try:
+        row = _DECODERS[number].decode(data[1:])
+        message: PeerMessage = msgspec.convert(
+            row, MESSAGE_TYPES[number], from_attributes=True
+        )
+        return message
+    except (msgspec.MsgspecError, ValueError) as error:
+        return Failure("malformed-message", str(error))
