--- /dev/null
+++ b/src/rhubarbspan/cli.py
@@ -0,0 +1,220 @@
+"""The command line: a thin shell over the library."""
+
+import argparse
+import asyncio
+import getpass
+import sys
+
+import logbook
+
+from . import __version__
+from .settings import is_ip_and_port
+
+DEFAULT_STORE = "127.0.0.1:8500"
+DEFAULT_CONFIGURATION = "examples/parrilla.ini"
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Build the parser of all commands."""
+    parser = argparse.ArgumentParser(
+        prog="rhubarbspan",
+        description="Steer requests across regions to backend servers.",
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
+    entry = _add(
+        commands, "entry", "run an entry instance", "entry --settings entry.ini"
+    )
+    entry.add_argument("--settings", required=True, help="the daemon's settings file")
+    _add_config(commands)
+    _add_keys(commands)
+    _add_drains(commands)
+    _add_shifts(commands)
+    status = _add(commands, "status", "show the fleet", "status --json")
+    _add_store(status)
+    _add_report(commands)
+    demo = _add(commands, "demo", "run a whole deployment for 20 seconds", "demo")
+    demo.add_argument("--config", default=None, help="configuration file to use")
+    standin = _add(
+        commands,
+        "standin",
+        "run the stand-ins of the platform and the backend servers",
+        f"standin --config {DEFAULT_CONFIGURATION}",
+    )
+    standin.add_argument("--config", required=True, help="configuration file")
+    standin.add_argument("--listen", default=DEFAULT_STORE, type=_address)
+    return parser
+
+
+def _add(
+    commands: "argparse._SubParsersAction[argparse.ArgumentParser]",
+    name: str,
+    text: str,
+    example: str,
+) -> argparse.ArgumentParser:
+    parser = commands.add_parser(
+        name,
+        help=text,
+        description=text,
+        epilog=f"example: rhubarbspan {example}",
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    return parser
+
+
+def _address(text: str) -> str:
+    if not is_ip_and_port(text):
+        raise argparse.ArgumentTypeError(f"{text!r} is no IP number and port")
+    return text
+
+
+def _positive(text: str) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        value = -1.0
+    if not 0 < value < float("inf"):
+        raise argparse.ArgumentTypeError(f"{text!r} is no positive number")
+    return value
+
+
+def _add_store(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--store", type=_address, default=DEFAULT_STORE, help="the platform's store"
+    )
+    parser.add_argument("--service", default="rhubarbspan", help="name on the list")
+    parser.add_argument(
+        "--entry",
+        type=_address,
+        action="append",
+        default=[],
+        help="an instance to ask, besides those on the platform's list",
+    )
+    parser.add_argument("--json", action="store_true", help="print JSON")
+
+
+def _add_change(parser: argparse.ArgumentParser) -> None:
+    _add_store(parser)
+    parser.add_argument("--author", default=None, help="name for the record")
+    parser.add_argument(
+        "--wait",
+        type=_positive,
+        default=0.0,
+        metavar="SECONDS",
+        help="wait until the change is in force",
+    )
+
+
+def _add_config(
+    commands: "argparse._SubParsersAction[argparse.ArgumentParser]",
+) -> None:
+    example = "config apply parrilla.ini --wait 10"
+    parser = _add(commands, "config", "check, compare, show and publish", example)
+    actions = parser.add_subparsers(dest="action", required=True, metavar="ACTION")
+    check = _add(actions, "check", "check a file", "config check parrilla.ini")
+    check.add_argument("file")
+    check.add_argument("--json", action="store_true", help="print JSON")
+    diff = _add(
+        actions, "diff", "compare with what is accepted", "config diff parrilla.ini"
+    )
+    diff.add_argument("file")
+    _add_store(diff)
+    _add_store(_add(actions, "show", "print what is accepted", "config show > now.ini"))
+    apply = _add(actions, "apply", "publish a file", example)
+    apply.add_argument("file")
+    apply.add_argument(
+        "--base",
+        type=int,
+        default=None,
+        help="revision that the file is based on, if its first line does not say so",
+    )
+    _add_change(apply)
+
+
+def _add_keys(commands: "argparse._SubParsersAction[argparse.ArgumentParser]") -> None:
+    parser = _add(
+        commands, "key", "keys of client accounts", "key grant hotel-le-morne"
+    )
+    actions = parser.add_subparsers(dest="action", required=True, metavar="ACTION")
+    grant = _add(actions, "grant", "make a key, shown once", "key grant hotel-le-morne")
+    grant.add_argument("account")
+    _add_change(grant)
+    withdraw = _add(
+        actions, "withdraw", "withdraw a key", "key withdraw hotel-le-morne 3f9a1c"
+    )
+    withdraw.add_argument("account")
+    withdraw.add_argument("hash", help="the first characters of the key's hash")
+    _add_change(withdraw)
+    listing = _add(actions, "list", "list hashes of keys", "key list hotel-le-morne")
+    listing.add_argument("account")
+    _add_store(listing)
+
+
+def _add_drains(
+    commands: "argparse._SubParsersAction[argparse.ArgumentParser]",
+) -> None:
+    for name, text in (
+        ("drain", "take out of service"),
+        ("undrain", "put back into service"),
+    ):
+        parser = _add(commands, name, text, f"{name} data_centre sur-a --wait 10")
+        kinds = ("instance", "backend_server", "data_centre")
+        parser.add_argument("kind", choices=kinds)
+        parser.add_argument("target")
+        _add_change(parser)
+
+
+def _add_shifts(
+    commands: "argparse._SubParsersAction[argparse.ArgumentParser]",
+) -> None:
+    example = (
+        "shift start move --pool catalogo --from centro --to sur --cap 20 --pace 0.5"
+    )
+    parser = _add(commands, "shift", "planned moves between regions", example)
+    actions = parser.add_subparsers(dest="action", required=True, metavar="ACTION")
+    start = _add(actions, "start", "start a shift", example)
+    start.add_argument("name")
+    start.add_argument("--pool", required=True)
+    start.add_argument("--from", dest="from_region", required=True)
+    start.add_argument("--to", dest="to_region", required=True)
+    start.add_argument("--cap", type=_positive, required=True, help="requests/s")
+    start.add_argument("--pace", type=_positive, default=1.0, help="requests/s²")
+    start.add_argument("--fraction", type=_positive, default=1.0)
+    _add_change(start)
+    watch = _add(actions, "watch", "show how far a shift is", "shift watch move")
+    watch.add_argument("name")
+    _add_store(watch)
+    stop = _add(actions, "stop", "stop a shift", "shift stop move")
+    stop.add_argument("name")
+    _add_change(stop)
+
+
+def _add_report(
+    commands: "argparse._SubParsersAction[argparse.ArgumentParser]",
+) -> None:
+    example = "report burn --html burn.html"
+    parser = _add(commands, "report", "reports", example)
+    actions = parser.add_subparsers(dest="action", required=True, metavar="ACTION")
+    burn = _add(actions, "burn", "service-level burn", example)
+    burn.add_argument("--html", default="", help="also write an HTML page")
+    _add_store(burn)
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Parse the arguments and run the command.
+
+    Returns:
+        0 if done, 1 if refused or failed, 2 for wrong use or settings.
+    """
+    arguments = build_parser().parse_args(argv)
+    if getattr(arguments, "author", "") is None:
+        arguments.author = getpass.getuser()
+    # Imported late, so that --help and wrong use need not load the servers.
+    from . import running
+
+    command = running.choose(arguments)
+    with logbook.StreamHandler(sys.stderr, level=logbook.INFO).applicationbound():
+        try:
+            return asyncio.run(command(arguments))
+        except KeyboardInterrupt:
+            return running.EXIT_FAILED
--- /dev/null
+++ b/src/rhubarbspan/demo.py
@@ -0,0 +1,325 @@
+"""A whole deployment under traffic, with an edit, a withdrawal and a drain."""
+
+import asyncio
+import sys
+from argparse import Namespace
+from collections import Counter
+from dataclasses import dataclass, field
+
+from .commands import (
+    EXIT_DONE,
+    EXIT_FAILED,
+    EXIT_USAGE,
+    complain,
+    load_document,
+    say,
+)
+from .configuration import Configuration, RouteKind
+from .document import Document
+from .edits import Edit, StartDrain, WithdrawKey, apply_edit
+from .publishing import Applied, read_stored
+from .report.text import format_table
+from .standins.caller import CallerStandIn, CallResult
+from .standins.deployment import Deployment
+from .standins.store import StoreStandIn
+from .verdict import Failure
+from .wire.http import hash_key
+
+DEFAULT_CONFIGURATION = "examples/parrilla.ini"
+EXAMPLE_KEY = "example-key-{}"
+TRAFFIC_S = 14.0
+EVENT_S = 4.0
+IN_FORCE_WITHIN_S = 2.0
+DRAINED_WITHIN_S = 3.0
+LOOKUP_INTERVAL_S = 0.05
+ORDER_INTERVAL_S = 0.4
+UPLOAD_INTERVAL_S = 1.0
+UPLOAD_BYTES = 5_000_000
+P50 = 0.5
+P99 = 0.99
+
+
+@dataclass(slots=True)
+class Sent:
+    """An order that a caller sent, and the best verdict that it got."""
+
+    key: str
+    verdict: str
+
+
+@dataclass(slots=True)
+class Record:
+    """What happened during the demo.
+
+    Attributes:
+        broken: Promises that did not hold.
+    """
+
+    results: Counter[tuple[str, str, str]] = field(default_factory=Counter)
+    latencies_s: dict[str, list[float]] = field(default_factory=dict)
+    orders: list[Sent] = field(default_factory=list)
+    admitted: dict[str, list[float]] = field(default_factory=dict)
+    broken: list[str] = field(default_factory=list)
+
+    def note(self, route: str, result: CallResult) -> None:
+        """Add the result of a call."""
+        self.results[route, result.verdict, result.reason] += 1
+        if result.verdict == "answered":
+            self.latencies_s.setdefault(route, []).append(result.latency_s)
+
+
+@dataclass(slots=True)
+class RouteNames:
+    """The routes that the demo uses."""
+
+    lookup: str
+    order: str
+    upload: str
+
+
+async def run_demo(arguments: Namespace) -> int:
+    """Run the demo; fail if a promise broke."""
+    path = arguments.config or DEFAULT_CONFIGURATION
+    loaded = load_document(path)
+    if isinstance(loaded, Failure):
+        complain(loaded.reason)
+        return EXIT_USAGE
+    deployment = Deployment(loaded[0], n_servers=2)
+    say("starting the deployment on loopback; this takes about 5 seconds")
+    await deployment.start()
+    record = Record()
+    try:
+        if not await deployment.wait_ready():
+            record.broken.append("the deployment did not get ready")
+        else:
+            await _run_traffic(deployment, record)
+            _check_orders(deployment, record)
+            _check_keys(deployment, record)
+    finally:
+        await deployment.stop()
+    say(_format(record))
+    for text in record.broken:
+        complain(f"broken: {text}")
+    say("all promises held" if not record.broken else "a promise broke")
+    return EXIT_FAILED if record.broken else EXIT_DONE
+
+
+def _pick_routes(configuration: Configuration) -> RouteNames:
+    by_kind = {
+        kind: next(
+            r.name
+            for r in configuration.routes.values()
+            if r.kind is kind and not r.is_open
+        )
+        for kind in RouteKind
+    }
+    return RouteNames(
+        by_kind[RouteKind.IDEMPOTENT],
+        by_kind[RouteKind.AT_MOST_ONCE],
+        by_kind[RouteKind.NON_IDEMPOTENT],
+    )
+
+
+async def _run_traffic(deployment: Deployment, record: Record) -> None:
+    configuration = deployment.configuration
+    routes = _pick_routes(configuration)
+    accounts = list(configuration.client_accounts)
+    stop = asyncio.Event()
+    tasks = [
+        asyncio.create_task(
+            _call_repeatedly(deployment, record, routes, account, number, stop)
+        )
+        for number, account in enumerate(accounts)
+    ]
+    await asyncio.sleep(EVENT_S)
+    await _withdraw(deployment, record, routes, accounts[-1])
+    await _drain_server(deployment, record, routes)
+    await _drain_instance(deployment, record)
+    await asyncio.sleep(max(0.0, TRAFFIC_S - 3 * EVENT_S))
+    stop.set()
+    await asyncio.gather(*tasks)
+
+
+async def _call_repeatedly(
+    deployment: Deployment,
+    record: Record,
+    routes: RouteNames,
+    account: str,
+    number: int,
+    stop: asyncio.Event,
+) -> None:
+    """Send look-ups, orders and uploads of one client account until stopped."""
+    limit = deployment.configuration.client_accounts[account]
+    interval_s = max(LOOKUP_INTERVAL_S, 2.0 / limit.rate_per_s)
+    key = EXAMPLE_KEY.format(account)
+    loop = asyncio.get_running_loop()
+    next_order_s = loop.time()
+    next_upload_s = loop.time() + number * 0.1
+    calls: set[asyncio.Task[None]] = set()
+    async with CallerStandIn(deployment.entries(), key, seed=number) as caller:
+        while not stop.is_set():
+            work = [_look_up(deployment, record, caller, routes.lookup)]
+            if loop.time() >= next_order_s:
+                next_order_s += max(ORDER_INTERVAL_S, 4 * interval_s)
+                work.append(_order(deployment, record, caller, routes.order))
+            if number < 2 and loop.time() >= next_upload_s:
+                next_upload_s += UPLOAD_INTERVAL_S
+                work.append(_upload(deployment, record, caller, routes.upload))
+            for item in work:
+                task = asyncio.create_task(item)
+                calls.add(task)
+                task.add_done_callback(calls.discard)
+            await asyncio.sleep(interval_s)
+        await asyncio.gather(*calls)
+
+
+async def _look_up(
+    deployment: Deployment, record: Record, caller: CallerStandIn, route: str
+) -> None:
+    prefix = deployment.configuration.routes[route].path_prefix
+    path = f"{prefix}/{caller.rng.randrange(1_000_000)}"
+    result = await caller.call(route, path)
+    record.note(route, result)
+    if result.verdict == "answered" and f" GET {path} ".encode() not in result.body:
+        record.broken.append(f"{path}: answer of another request")
+
+
+async def _order(
+    deployment: Deployment, record: Record, caller: CallerStandIn, route: str
+) -> None:
+    path = deployment.configuration.routes[route].path_prefix
+    key = f"order-{caller.seed}-{len(record.orders)}"
+    sent = Sent(key, "")
+    record.orders.append(sent)
+    result = await caller.call(route, path, "POST", b"order", key)
+    sent.verdict = result.verdict
+    record.note(route, result)
+
+
+async def _upload(
+    deployment: Deployment, record: Record, caller: CallerStandIn, route: str
+) -> None:
+    path = deployment.configuration.routes[route].path_prefix
+    result = await caller.call(route, path, "POST", b"x" * UPLOAD_BYTES, n_resends=0)
+    record.note(route, result)
+    if result.verdict == "answered" and str(UPLOAD_BYTES).encode() not in result.body:
+        record.broken.append("an upload was not whole")
+
+
+async def _change(deployment: Deployment, edit: Edit) -> int:
+    assert deployment.client is not None
+    stored = await read_stored(deployment.client)
+    assert not isinstance(stored, Failure)
+    document: Document | Failure = apply_edit(stored.snapshot.document, edit)
+    assert not isinstance(document, Failure)
+    result = await deployment.apply(document, stored.head.revision)
+    assert isinstance(result, Applied)
+    return result.revision
+
+
+async def _withdraw(
+    deployment: Deployment, record: Record, routes: RouteNames, account: str
+) -> None:
+    """Withdraw a key under traffic; no instance may take it two seconds later."""
+    key = EXAMPLE_KEY.format(account)
+    revision = await _change(deployment, WithdrawKey(account, hash_key(key)))
+    await asyncio.sleep(IN_FORCE_WITHIN_S)
+    say(f"key of {account} withdrawn in revision {revision}")
+    path = deployment.configuration.routes[routes.lookup].path_prefix
+    async with CallerStandIn(deployment.entries(), key) as caller:
+        for entry in deployment.entries():
+            result = await caller.send(entry, path)
+            if result.reason != "bad-key":
+                text = f"{entry} took a withdrawn key: {result.verdict} {result.reason}"
+                record.broken.append(text)
+
+
+async def _drain_server(
+    deployment: Deployment, record: Record, routes: RouteNames
+) -> None:
+    """Drain a backend server; it may start nothing new three seconds later."""
+    pool = deployment.configuration.routes[routes.lookup].pool
+    name = next(name for name in deployment.backends if name.startswith(pool))
+    backend = deployment.backends[name]
+    revision = await _change(deployment, StartDrain("backend_server", name))
+    say(f"backend server {name} drained in revision {revision}")
+    await asyncio.sleep(DRAINED_WITHIN_S)
+    n_started = backend.n_started
+    await asyncio.sleep(1.0)
+    if backend.n_started != n_started:
+        record.broken.append(f"{name} got new work after its drain")
+
+
+async def _drain_instance(deployment: Deployment, record: Record) -> None:
+    """Stop an instance under traffic; it must end by itself and cut nothing."""
+    seat, daemon = next(iter(deployment.daemons.items()))
+    say(f"instance {seat} asked to stop")
+    daemon.request_stop()
+    try:
+        async with asyncio.timeout(EVENT_S + DRAINED_WITHIN_S):
+            await daemon.run()
+    except TimeoutError:
+        record.broken.append(f"instance {seat} did not stop")
+    deployment.daemons.pop(seat)
+
+
+def _check_orders(deployment: Deployment, record: Record) -> None:
+    runs: Counter[str] = Counter()
+    for backend in deployment.backends.values():
+        runs.update(backend.runs)
+    for order in record.orders:
+        n_runs = runs[order.key]
+        if n_runs > 1:
+            record.broken.append(f"{order.key} ran {n_runs} times")
+        if order.verdict == "answered" and n_runs != 1:
+            record.broken.append(f"{order.key} was answered and ran {n_runs} times")
+        if order.verdict == "not-run" and n_runs:
+            record.broken.append(f"{order.key} ran, though its refusal said not run")
+    for (route, verdict, reason), n in record.results.items():
+        if verdict == "lost":
+            record.broken.append(f"{n} requests of {route} were cut: {reason}")
+
+
+def _check_keys(deployment: Deployment, record: Record) -> None:
+    for backend in deployment.backends.values():
+        if "authorization" in backend.seen_headers:
+            record.broken.append(f"{backend.name} saw a key")
+
+
+def _format(record: Record) -> str:
+    header = ["route", "verdict", "reason", "requests", "p50_ms", "p99_ms"]
+    rows = []
+    for (route, verdict, reason), n in sorted(record.results.items()):
+        is_answered = verdict == "answered"
+        latencies = sorted(record.latencies_s.get(route, [])) if is_answered else []
+        shown = [_quantile_ms(latencies, q) for q in (P50, P99)]
+        rows.append([route, verdict, reason or "-", str(n), *shown])
+    return format_table(header, rows)
+
+
+def _quantile_ms(ordered: list[float], quantile: float) -> str:
+    if not ordered:
+        return "-"
+    return f"{ordered[min(len(ordered) - 1, int(len(ordered) * quantile))] * 1e3:.1f}"
+
+
+async def run_standin(arguments: Namespace) -> int:
+    """Run the stand-ins of the platform and of the backend servers."""
+    loaded = load_document(arguments.config)
+    if isinstance(loaded, Failure):
+        complain(loaded.reason)
+        return EXIT_USAGE
+    host, _, port = arguments.listen.rpartition(":")
+    deployment = Deployment(loaded[0], store=StoreStandIn())
+    try:
+        await deployment.start(host, int(port), seats=[])
+    except OSError as error:
+        complain(f"cannot listen on {arguments.listen}: {error.strerror}")
+        return EXIT_FAILED
+    say(f"store on {deployment.store.address}, {len(deployment.backends)} servers")
+    sys.stdout.flush()
+    try:
+        await asyncio.Event().wait()
+    finally:
+        await deployment.stop()
+    return EXIT_DONE
--- /dev/null
+++ b/src/rhubarbspan/running.py
@@ -0,0 +1,46 @@
+"""Chooses the function that carries out a command."""
+
+from argparse import Namespace
+
+from . import commands
+from .commands import EXIT_FAILED as EXIT_FAILED
+from .demo import run_demo, run_standin
+
+
+def choose(arguments: Namespace) -> commands.Command:
+    """Return the function for the parsed arguments."""
+    match arguments.command, getattr(arguments, "action", ""):
+        case "entry", _:
+            return commands.run_entry
+        case "config", "check":
+            return commands.check_config
+        case "config", "diff":
+            return commands.diff_config
+        case "config", "show":
+            return commands.show_config
+        case "config", _:
+            return commands.apply_config
+        case "key", "grant":
+            return commands.grant_key
+        case "key", "withdraw":
+            return commands.withdraw_key
+        case "key", _:
+            return commands.list_keys
+        case "drain", _:
+            return commands.start_drain
+        case "undrain", _:
+            return commands.end_drain
+        case "shift", "start":
+            return commands.start_shift
+        case "shift", "watch":
+            return commands.watch_shift
+        case "shift", _:
+            return commands.stop_shift
+        case "status", _:
+            return commands.show_status
+        case "report", _:
+            return commands.report_burn
+        case "standin", _:
+            return run_standin
+        case _:
+            return run_demo
--- /dev/null
+++ b/src/rhubarbspan/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems, for tests, the demo and first steps."""
--- /dev/null
+++ b/src/rhubarbspan/standins/backend.py
@@ -0,0 +1,156 @@
+"""A stand-in for a backend server, over HTTP."""
+
+import asyncio
+import uuid
+from collections import Counter
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+from ..wire.http import SHED_HEADER
+
+MAX_BODY_BYTES = 1 << 30
+
+
+@dataclass(slots=True)
+class BackendFaults:
+    """What is wrong with the server now.
+
+    Attributes:
+        is_lying: The health page reports an idle, healthy server whatever happens.
+        is_draining: The health page says that no new work is taken.
+        crash_on: A request whose body or path holds this text kills the server.
+        error_status: Answer each request with this status at once, if not 0.
+        truncate_after: Cut each answer after so many bytes, if not negative.
+    """
+
+    is_lying: bool = False
+    is_draining: bool = False
+    crash_on: bytes = b""
+    error_status: int = 0
+    truncate_after: int = -1
+
+
+@dataclass(slots=True)
+class BackendStandIn:
+    """A server with slots that counts what it runs.
+
+    Attributes:
+        service_s: Time that each request takes.
+        cold_s: Extra time for each request in the first ``n_cold`` requests.
+        runs: Completed runs by idempotency key.
+        seen_headers: Names of the headers that any request carried.
+    """
+
+    n_slots: int = 3
+    service_s: float = 0.02
+    cold_s: float = 0.0
+    n_cold: int = 0
+    name: str = ""
+    address: str = ""
+    generation: str = field(default_factory=lambda: uuid.uuid4().hex)
+    faults: BackendFaults = field(default_factory=BackendFaults)
+    n_in_flight: int = 0
+    n_foreign: int = 0
+    n_started: int = 0
+    n_shed: int = 0
+    n_cancelled: int = 0
+    n_deaths: int = 0
+    max_in_flight: int = 0
+    n_body_bytes: int = 0
+    runs: Counter[str] = field(default_factory=Counter)
+    seen_headers: set[str] = field(default_factory=set)
+    runner: web.AppRunner | None = None
+
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> str:
+        """Listen; return IP number and port."""
+        application = web.Application(client_max_size=MAX_BODY_BYTES)
+        application.router.add_get("/health", self._health)
+        application.router.add_route("*", "/{path:.*}", self._serve)
+        self.runner = web.AppRunner(
+            application,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=0.1,
+        )
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, host, port)
+        await site.start()
+        host, port = self.runner.addresses[0][:2]
+        self.address = f"{host}:{port}"
+        return self.address
+
+    async def stop(self) -> None:
+        """Stop listening; requests under way are cut."""
+        if self.runner is not None:
+            await self.runner.cleanup()
+            self.runner = None
+
+    async def _health(self, request: web.Request) -> web.Response:
+        n_in_flight = self.n_in_flight + self.n_foreign
+        return web.json_response(
+            {
+                "in_flight": 0 if self.faults.is_lying else n_in_flight,
+                "accepting": self.faults.is_lying or not self.faults.is_draining,
+                "generation": self.generation,
+            }
+        )
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        self.seen_headers.update(name.lower() for name in request.headers)
+        if self.faults.error_status:
+            return web.Response(status=self.faults.error_status)
+        if self.n_in_flight + self.n_foreign >= self.n_slots:
+            self.n_shed += 1
+            return web.Response(status=503, headers={SHED_HEADER: "1"})
+        self.n_started += 1
+        self.n_in_flight += 1
+        self.max_in_flight = max(self.max_in_flight, self.n_in_flight)
+        try:
+            return await self._run(request)
+        except asyncio.CancelledError:
+            self.n_cancelled += 1
+            raise
+        finally:
+            self.n_in_flight -= 1
+
+    async def _run(self, request: web.Request) -> web.StreamResponse:
+        n_bytes = 0
+        tail = request.path_qs.encode()
+        async for chunk in request.content.iter_any():
+            n_bytes += len(chunk)
+            tail = (tail + chunk)[-4096:]
+        self.n_body_bytes += n_bytes
+        if self.faults.crash_on and self.faults.crash_on in tail:
+            await self._crash()
+        if self.n_cold > 0:
+            self.n_cold -= 1
+            await asyncio.sleep(self.cold_s)
+        await asyncio.sleep(self.service_s)
+        key = request.headers.get("Idempotency-Key", "")
+        if key:
+            self.runs[key] += 1
+        text = f"{self.name} {request.method} {request.path_qs} {n_bytes}\n"
+        if self.faults.truncate_after >= 0:
+            return await self._truncate(request, text.encode())
+        size = int(request.query.get("size", "0"))
+        return web.Response(text=text + "x" * size)
+
+    async def _truncate(self, request: web.Request, body: bytes) -> web.StreamResponse:
+        response = web.StreamResponse()
+        response.content_length = len(body) + 1000
+        await response.prepare(request)
+        await response.write(body[: self.faults.truncate_after])
+        if request.transport is not None:
+            request.transport.abort()
+        return response
+
+    async def _crash(self) -> None:
+        """Die as a process would: all connections break, then a new life begins."""
+        self.n_deaths += 1
+        self.generation = uuid.uuid4().hex
+        server = self.runner.server if self.runner else None
+        for connection in list(server.connections) if server else []:
+            if connection.transport is not None:
+                connection.transport.abort()
+        raise ConnectionResetError
--- /dev/null
+++ b/src/rhubarbspan/standins/deployment.py
@@ -0,0 +1,159 @@
+"""A whole deployment in one process: stand-ins and entry daemons on loopback."""
+
+import asyncio
+import socket
+from dataclasses import dataclass, field
+
+from ..checking import check_document
+from ..configuration import Configuration
+from ..document import Document
+from ..edge.daemon import Daemon
+from ..edge.store import HttpStore
+from ..policies import Policies
+from ..publishing import Applied, ApplyResult, apply_document
+from ..settings import Settings
+from ..verdict import Failure
+from .backend import BackendStandIn
+from .store import StoreStandIn
+
+HOST = "127.0.0.1"
+SERVICE = "rhubarbspan"
+
+
+def free_address() -> str:
+    """Find a loopback address that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return f"{HOST}:{probe.getsockname()[1]}"
+
+
+@dataclass(slots=True)
+class Deployment:
+    """Store, backend servers and daemons.
+
+    Attributes:
+        n_servers: Backend servers of each pool in each data centre.
+    """
+
+    document: Document
+    n_servers: int = 1
+    service_s: float = 0.02
+    configuration: Configuration = field(default_factory=Configuration)
+    store: StoreStandIn = field(default_factory=StoreStandIn)
+    backends: dict[str, BackendStandIn] = field(default_factory=dict)
+    daemons: dict[str, Daemon] = field(default_factory=dict)
+    client: HttpStore | None = None
+
+    async def start(
+        self, host: str = HOST, port: int = 0, seats: list[str] | None = None
+    ) -> None:
+        """Start everything and publish the configuration.
+
+        Args:
+            host: IP number that the store listens on.
+            port: Port of the store, 0 for any.
+            seats: Seats to start daemons for, all if None.
+        """
+        self.configuration, problems = check_document(self.document)
+        assert not problems, problems
+        address = await self.store.start(host, port)
+        self.client = HttpStore(address)
+        result = await self.apply(self.document, 0)
+        assert isinstance(result, Applied), result
+        for pool in self.configuration.pools:
+            for place in self.configuration.data_centres:
+                for number in range(self.n_servers):
+                    await self.add_backend(pool, place, number)
+        for seat in self.configuration.seats():
+            if seats is None or seat in seats:
+                await self.add_daemon(seat)
+
+    async def apply(
+        self, document: Document, revision: int, author: str = "operator"
+    ) -> ApplyResult:
+        """Publish a configuration on top of a revision."""
+        assert self.client is not None
+        return await apply_document(self.client, document, author, revision)
+
+    async def add_backend(self, pool: str, place: str, number: int) -> BackendStandIn:
+        """Start and list a backend server."""
+        name = f"{pool}-{place}-{number}"
+        n_slots = self.configuration.pools[pool].n_slots_per_server
+        backend = BackendStandIn(n_slots, self.service_s, name=name)
+        await backend.start()
+        self.backends[name] = backend
+        meta = {"data_centre": place, "state": "live"}
+        self.store.register(pool, name, backend.address, meta)
+        return backend
+
+    async def add_daemon(
+        self, seat: str, policies: Policies | None = None
+    ) -> Daemon | Failure:
+        """Start and list a daemon."""
+        place = seat.rpartition("-")[0]
+        settings = Settings(
+            seat,
+            place,
+            self.configuration.region_of(place),
+            free_address(),
+            free_address(),
+            self.store.address,
+            seeds=tuple(
+                (other, daemon.settings.peer_listen)
+                for other, daemon in self.daemons.items()
+                if other != seat
+            ),
+        )
+        daemon = Daemon(settings, policies)
+        failure = await daemon.start()
+        if failure is not None:
+            return failure
+        self.daemons[seat] = daemon
+        self.list_daemon(daemon, "live")
+        return daemon
+
+    def list_daemon(self, daemon: Daemon, state: str) -> None:
+        """Put a daemon on the platform's list."""
+        settings = daemon.settings
+        meta = {
+            "data_centre": settings.data_centre,
+            "peer_address": settings.peer_listen,
+            "state": state,
+        }
+        self.store.register(SERVICE, settings.seat, settings.listen, meta)
+
+    def entries(self) -> list[str]:
+        """List the addresses of the daemons."""
+        return [daemon.settings.listen for daemon in self.daemons.values()]
+
+    async def wait_ready(self, timeout_s: float = 15.0) -> bool:
+        """Wait until each daemon hears the others and limits are in force."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + timeout_s
+        while loop.time() < end_s:
+            if all(self._is_ready(daemon) for daemon in self.daemons.values()):
+                return True
+            await asyncio.sleep(0.05)
+        return False
+
+    def _is_ready(self, daemon: Daemon) -> bool:
+        world = daemon.world
+        n_others = len(self.daemons) - 1
+        pools = world.configuration.pools
+        has_servers = all(world.servers.of_pool(pool) for pool in pools)
+        buckets = world.buckets.rows()
+        has_shares = all(
+            row.shares or row.delegated or row.own_burst == row.pending_burst == 0
+            for row in buckets
+        )
+        has_peers = len(world.peers.alive()) >= n_others
+        return bool(pools) and has_servers and has_shares and has_peers
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        await asyncio.gather(*(daemon.close() for daemon in self.daemons.values()))
+        for backend in self.backends.values():
+            await backend.stop()
+        if self.client is not None:
+            await self.client.close()
+        await self.store.stop()
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,97 @@
+"""Fixtures that the tests share."""
+
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from rhubarbspan.document import Document, Snapshot
+from rhubarbspan.inputs import ConfigurationOffered, Input, ServerListing, ServersListed
+from rhubarbspan.policies import Policies
+from rhubarbspan.tick import run_tick
+from rhubarbspan.verdict import Failure
+from rhubarbspan.wire.ini import read_document
+from rhubarbspan.world import Identity, World, create_world
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+START_S = 100.0
+
+MakeWorld = Callable[..., World]
+
+
+def load_example(name: str) -> Document:
+    """Read an example configuration."""
+    document = read_document((EXAMPLES / f"{name}.ini").read_text(), name)
+    assert not isinstance(document, Failure)
+    return document
+
+
+@pytest.fixture
+def parrilla() -> Document:
+    """Return the configuration of Parrilla Fundida."""
+    return load_example("parrilla")
+
+
+@pytest.fixture
+def tamarind() -> Document:
+    """Return the configuration of Tamarind Label Works."""
+    return load_example("tamarind")
+
+
+@pytest.fixture
+def single() -> Document:
+    """Return a configuration with one seat, one pool and three routes."""
+    common = {"pool": "shop", "timeout_s": "5"}
+    return {
+        "route look": {**common, "path_prefix": "/look", "kind": "idempotent"},
+        "route order": {**common, "path_prefix": "/order", "kind": "at_most_once"},
+        "route open": {
+            **common,
+            "path_prefix": "/open",
+            "kind": "idempotent",
+            "open": "yes",
+        },
+        "pool shop": {"slots_per_server": "2", "max_queued": "4", "ramp_s": "0"},
+        "client_account ana": {
+            "rate_per_s": "10",
+            "burst": "20",
+            "key_hashes": "a" * 64,
+        },
+        "data_centre x": {"region": "r", "seats": "1", "client_blocks": "10.0.0.0/8"},
+    }
+
+
+@pytest.fixture
+def make_world() -> MakeWorld:
+    """Return a function that makes a world with a configuration and servers."""
+
+    def make(
+        document: Document,
+        n_servers: int = 1,
+        seat: str = "x-1",
+        policies: Policies | None = None,
+    ) -> World:
+        place = seat.rpartition("-")[0]
+        region = document[f"data_centre {place}"]["region"]
+        identity = Identity(seat, place, region, 1, "127.0.0.1:1", "127.0.0.1:2")
+        world = create_world(identity, START_S, policies or Policies(), 1)
+        snapshot = Snapshot(1, document, 1)
+        inputs: list[Input] = [ConfigurationOffered(snapshot, [], True)]
+        for title in document:
+            kind, _, pool = title.partition(" ")
+            if kind == "pool":
+                inputs.append(ServersListed(pool, _listings(pool, place, n_servers)))
+        run_tick(world, START_S, inputs)
+        # Past the time for which a new instance must not mint its own shares.
+        for number in range(1, 13):
+            run_tick(world, START_S + number * 0.5, [])
+        return world
+
+    return make
+
+
+def _listings(pool: str, place: str, n_servers: int) -> list[ServerListing]:
+    return [
+        ServerListing(f"{pool}-{number}", pool, f"127.0.0.1:{100 + number}", place)
+        for number in range(n_servers)
+    ]
--- /dev/null
+++ b/tests/test_requests.py
@@ -0,0 +1,167 @@
+"""One request through all systems of one world."""
+
+from collections.abc import Callable
+
+import pytest
+
+from rhubarbspan.document import Document
+from rhubarbspan.effects import AnswerCaller, Effect, StartAttempt, WriteClaim
+from rhubarbspan.inputs import (
+    AttemptEnded,
+    ClaimResult,
+    ClaimSettled,
+    Completed,
+    ConnectFailed,
+    ConnectionLost,
+    Outcome,
+    RequestArrived,
+    Shed,
+    TimedOut,
+)
+from rhubarbspan.tick import run_tick
+from rhubarbspan.verdict import Answered, MayHaveRun, NotRun, Reason, Verdict
+from rhubarbspan.world import World
+
+MakeWorld = Callable[..., World]
+NOW_S = 110.0
+KEY = "a" * 64
+
+
+def verdicts(effects: list[Effect]) -> list[Verdict]:
+    """List the final decisions among effects."""
+    return [e.verdict for e in effects if isinstance(e, AnswerCaller)]
+
+
+def attempts(effects: list[Effect]) -> list[StartAttempt]:
+    """List the attempts among effects."""
+    return [e for e in effects if isinstance(e, StartAttempt)]
+
+
+def test_request_reaches_a_server_and_its_answer_ends_it(
+    single: Document, make_world: MakeWorld
+) -> None:
+    world = make_world(single)
+    effects = run_tick(world, NOW_S, [RequestArrived(1, "/look/a", KEY)])
+    assert [a.server_id for a in attempts(effects)] == ["shop-0"]
+    ended = AttemptEnded(1, 1, Completed(200))
+    assert verdicts(run_tick(world, NOW_S + 0.1, [ended])) == [Answered(200)]
+    assert len(world.requests) == 0
+
+
+@pytest.mark.parametrize(
+    ("arrived", "reason"),
+    [
+        (RequestArrived(1, "/none", KEY), Reason.UNKNOWN_ROUTE),
+        (RequestArrived(1, "/look", ""), Reason.BAD_KEY),
+        (RequestArrived(1, "/look", "b" * 64), Reason.BAD_KEY),
+        (RequestArrived(1, "/order", KEY), Reason.KEY_MISSING),
+    ],
+)
+def test_bad_requests_are_refused_as_not_run(
+    single: Document, make_world: MakeWorld, arrived: RequestArrived, reason: Reason
+) -> None:
+    effects = run_tick(make_world(single), NOW_S, [arrived])
+    assert verdicts(effects) == [NotRun(reason)]
+    assert not attempts(effects)
+
+
+@pytest.mark.parametrize(
+    ("path", "outcome", "is_retried", "verdict"),
+    [
+        ("/look", ConnectFailed(), True, None),
+        ("/look", Shed(), True, None),
+        ("/look", ConnectionLost(), True, None),
+        ("/look", ConnectionLost(True), False, MayHaveRun(Reason.TRUNCATED)),
+        ("/look", TimedOut(), False, MayHaveRun(Reason.DEADLINE)),
+        ("/order", ConnectFailed(), True, None),
+        ("/order", Shed(), True, None),
+        ("/order", ConnectionLost(), False, MayHaveRun(Reason.CONNECTION_LOST)),
+        ("/order", TimedOut(), False, MayHaveRun(Reason.DEADLINE)),
+    ],
+)
+def test_a_request_is_repeated_only_if_that_is_safe(
+    single: Document,
+    make_world: MakeWorld,
+    path: str,
+    outcome: Outcome,
+    is_retried: bool,
+    verdict: Verdict | None,
+) -> None:
+    world = make_world(single, n_servers=2)
+    effects = run_tick(world, NOW_S, [RequestArrived(1, path, KEY, "k")])
+    if path == "/order":
+        assert not attempts(effects)
+        settled = ClaimSettled(1, ClaimResult.OURS)
+        effects = run_tick(world, NOW_S, [settled])
+    first = attempts(effects)[0]
+    effects = run_tick(world, NOW_S + 0.1, [AttemptEnded(1, 1, outcome)])
+    assert [a.server_id != first.server_id for a in attempts(effects)] == [True] * (
+        is_retried
+    )
+    assert verdicts(effects) == ([verdict] if verdict else [])
+
+
+@pytest.mark.parametrize(
+    ("result", "verdict"),
+    [
+        (ClaimResult.TAKEN, MayHaveRun(Reason.DUPLICATE)),
+        (ClaimResult.UNKNOWN, NotRun(Reason.CLAIM_UNKNOWN)),
+        (ClaimResult.NOT_WRITTEN, NotRun(Reason.CLAIM_UNKNOWN)),
+    ],
+)
+def test_no_proof_of_the_claim_no_attempt(
+    single: Document, make_world: MakeWorld, result: ClaimResult, verdict: Verdict
+) -> None:
+    world = make_world(single)
+    run_tick(world, NOW_S, [RequestArrived(1, "/order", KEY, "k")])
+    effects = run_tick(world, NOW_S, [ClaimSettled(1, result)])
+    assert verdicts(effects) == [verdict]
+    assert not attempts(effects)
+
+
+def test_resend_while_the_first_runs_is_not_run_twice(
+    single: Document, make_world: MakeWorld
+) -> None:
+    world = make_world(single)
+    run_tick(world, NOW_S, [RequestArrived(1, "/order", KEY, "k")])
+    effects = run_tick(world, NOW_S, [RequestArrived(2, "/order", KEY, "k")])
+    assert verdicts(effects) == [MayHaveRun(Reason.DUPLICATE)]
+
+
+def test_resend_after_an_unclear_claim_uses_the_same_nonce(
+    single: Document, make_world: MakeWorld
+) -> None:
+    world = make_world(single)
+    nonces = []
+    for number in (1, 2):
+        arrived = RequestArrived(number, "/order", KEY, "k")
+        effects = run_tick(world, NOW_S + number, [arrived])
+        nonces += [e.nonce for e in effects if isinstance(e, WriteClaim)]
+        run_tick(world, NOW_S + number, [ClaimSettled(number, ClaimResult.UNKNOWN)])
+    assert len(nonces) == 2
+    assert nonces[0] == nonces[1]
+
+
+def test_queue_is_bounded_and_fair_between_accounts(
+    single: Document, make_world: MakeWorld
+) -> None:
+    other = {"rate_per_s": "10", "burst": "20", "key_hashes": "c" * 64}
+    world = make_world({**single, "client_account bo": other})
+    flood = [RequestArrived(number, "/look", KEY) for number in range(1, 8)]
+    effects = run_tick(world, NOW_S, [*flood, RequestArrived(9, "/look", "c" * 64)])
+    refused = [e.request_id for e in effects if isinstance(e, AnswerCaller)]
+    assert [a.request_id for a in attempts(effects)] == [1, 9]
+    assert refused == [7, 6]
+    effects = run_tick(world, NOW_S + 0.1, [AttemptEnded(9, 1, Completed(200))])
+    assert [a.request_id for a in attempts(effects)] == [2]
+
+
+def test_request_that_waits_too_long_is_refused_as_not_run(
+    single: Document, make_world: MakeWorld
+) -> None:
+    world = make_world(single)
+    flood = [RequestArrived(number, "/look", KEY) for number in range(1, 4)]
+    run_tick(world, NOW_S, flood)
+    assert world.deadlines.next_s() is not None
+    effects = run_tick(world, NOW_S + 5.0, [])
+    assert verdicts(effects) == [NotRun(Reason.DEADLINE)]
