--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,15 @@
 
 clean:
 	rm -rf $(VENV) build dist
+
+SCENARIOS := steady noisy killed region_lost store_down region_cut shift drain
+MEASURED := $(foreach d,parrilla tamarind,$(foreach s,$(SCENARIOS),build/measure/$d-$s.json))
+
+build/measure/%.json: setup
+	@mkdir -p $(@D)
+	@$(RUN) -m rhubarbspan.measure run $(subst -, ,$*) > $@
+
+measure:
+	@rm -rf build/measure
+	@$(MAKE) --no-print-directory -j 6 $(MEASURED)
+	@$(RUN) -m rhubarbspan.measure table $(MEASURED) | tee docs/MEASURED.txt
--- /dev/null
+++ b/src/rhubarbspan/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measures the decisions in virtual time, beside naive baselines."""
--- /dev/null
+++ b/src/rhubarbspan/measure/__main__.py
@@ -0,0 +1,91 @@
+"""Runs measurements: ``run DEPLOYMENT SCENARIO`` or ``table FILE...``."""
+
+import sys
+from pathlib import Path
+
+import msgspec
+
+from ..policies import (
+    OwnedSlots,
+    Policies,
+    PooledShares,
+    RandomChoice,
+    StaticShares,
+    Uncoordinated,
+)
+from ..report.text import format_table
+from ..verdict import Failure
+from ..wire.ini import read_document
+from .scenarios import PER_CENT, SCENARIOS, Figures, measure
+
+POLICIES = {
+    "rhubarbspan": Policies(PooledShares(), OwnedSlots()),
+    "static shares": Policies(StaticShares(), OwnedSlots()),
+    "uncoordinated": Policies(Uncoordinated(), OwnedSlots()),
+    "random choice": Policies(PooledShares(), RandomChoice()),
+}
+
+
+def run(deployment: str, scenario: str) -> None:
+    """Measure one scenario under all policies, and print JSON lines."""
+    path = Path("examples") / f"{deployment}.ini"
+    document = read_document(path.read_text(encoding="utf-8"), str(path))
+    if isinstance(document, Failure):
+        raise SystemExit(document.reason)
+    for policy, policies in POLICIES.items():
+        figures = measure(deployment, document, scenario, policy, policies)
+        sys.stdout.write(msgspec.json.encode(figures).decode() + "\n")
+
+
+def table(files: list[str]) -> None:
+    """Print the figures of several runs as one table for each deployment."""
+    for deployment in ("parrilla", "tamarind"):
+        rows = []
+        for scenario in SCENARIOS:
+            for name in files:
+                if Path(name).stem == f"{deployment}-{scenario}":
+                    lines = Path(name).read_text(encoding="utf-8").splitlines()
+                    decoded = [msgspec.json.decode(s, type=Figures) for s in lines]
+                    rows += [_format(figures) for figures in decoded]
+        header = [
+            "scenario, policy",
+            "requests",
+            "added p50 ms",
+            "added p99 ms",
+            "headroom %",
+            "worst served %",
+            "refused inside %",
+            "over-admission",
+            "drain s",
+            "not run",
+            "may have run",
+            "run twice",
+        ]
+        sys.stdout.write(f"\n{deployment}\n\n{format_table(header, rows)}\n")
+
+
+def _format(figures: Figures) -> list[str]:
+    return [
+        f"{figures.scenario}, {figures.policy}",
+        str(figures.n_requests),
+        f"{figures.added_p50_ms:.1f}",
+        f"{figures.added_p99_ms:.1f}",
+        f"{figures.headroom * PER_CENT:.0f}",
+        f"{figures.worst_served * PER_CENT:.2f}",
+        f"{figures.refused_inside * PER_CENT:.3f}",
+        f"{figures.over_admission:.2f}",
+        f"{figures.drain_s:.1f}" if figures.drain_s >= 0 else "-",
+        str(figures.n_not_run),
+        str(figures.n_may_have_run),
+        str(figures.n_run_twice),
+    ]
+
+
+if __name__ == "__main__":
+    match sys.argv[1:]:
+        case ["run", deployment, scenario]:
+            run(deployment, scenario)
+        case ["table", *files]:
+            table(files)
+        case _:
+            raise SystemExit(__doc__)
--- /dev/null
+++ b/src/rhubarbspan/measure/oracle.py
@@ -0,0 +1,85 @@
+"""What ideal, central versions of the decisions would have done."""
+
+import heapq
+from dataclasses import dataclass
+
+ROUNDING = 1e-6
+
+
+@dataclass(frozen=True, slots=True)
+class Limit:
+    """A rate and burst over the whole fleet."""
+
+    rate_per_s: float
+    burst: float
+
+
+def central_bucket(limit: Limit, arrivals_s: list[float]) -> list[bool]:
+    """Tell which arrivals one central bucket would admit.
+
+    Example:
+        >>> central_bucket(Limit(1.0, 2), [0.0, 0.0, 0.0, 1.0])
+        [True, True, False, True]
+    """
+    level = limit.burst
+    last_s = arrivals_s[0] if arrivals_s else 0.0
+    admitted = []
+    for when_s in arrivals_s:
+        level = min(limit.burst, level + (when_s - last_s) * limit.rate_per_s)
+        last_s = when_s
+        is_admitted = level >= 1.0 - ROUNDING
+        level -= is_admitted
+        admitted.append(is_admitted)
+    return admitted
+
+
+def over_admission(limit: Limit, admitted_s: list[float]) -> float:
+    """Return by how many requests any interval exceeds rate times length plus burst.
+
+    Example:
+        >>> over_admission(Limit(1.0, 2), [0.0, 0.0, 0.0])
+        1.0
+    """
+    level = limit.burst
+    lowest = level
+    last_s = admitted_s[0] if admitted_s else 0.0
+    for when_s in sorted(admitted_s):
+        level = min(limit.burst, level + (when_s - last_s) * limit.rate_per_s)
+        last_s = when_s
+        level -= 1.0
+        lowest = min(lowest, level)
+    return max(0.0, -lowest - ROUNDING)
+
+
+def central_queue(n_slots: int, jobs: list[tuple[float, float]]) -> list[float]:
+    """Return the time from arrival to end of each job in one queue before all slots.
+
+    Args:
+        n_slots: Slots of all servers together.
+        jobs: Arrival time and service time of each job, by arrival.
+
+    Example:
+        >>> central_queue(1, [(0.0, 2.0), (1.0, 1.0)])
+        [2.0, 2.0]
+    """
+    free_s = [0.0] * n_slots
+    times = []
+    for arrived_s, service_s in jobs:
+        start_s = max(arrived_s, heapq.heappop(free_s))
+        end_s = start_s + service_s
+        heapq.heappush(free_s, end_s)
+        times.append(end_s - arrived_s)
+    return times
+
+
+def quantile(values: list[float], part: float) -> float:
+    """Return a quantile of values, 0 if there are none.
+
+    Example:
+        >>> quantile([3.0, 1.0, 2.0], 0.5)
+        2.0
+    """
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * part))]
--- /dev/null
+++ b/src/rhubarbspan/standins/virtual_fleet.py
@@ -0,0 +1,341 @@
+"""Several worlds in virtual time, with the messages between them in flight."""
+
+import heapq
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ..checking import check_document
+from ..document import Document, Snapshot
+from ..effects import AnswerCaller, Effect, Exit, SendPeer, StartAttempt, WriteClaim
+from ..inputs import (
+    AttemptEnded,
+    ClaimResult,
+    ClaimSettled,
+    ConfigurationOffered,
+    ConnectFailed,
+    Input,
+    Outcome,
+    PeerListing,
+    PeerReceived,
+    PeersListed,
+    RequestArrived,
+    ServerListing,
+    ServerProbed,
+    ServersListed,
+    StoreContacted,
+)
+from ..policies import Policies
+from ..tick import run_tick
+from ..verdict import Verdict
+from ..world import Identity, World, create_world
+from .virtual_servers import VirtualServer, VirtualServers, Work
+
+POLL_S = 1.0
+STORE_DELAY_S = 0.005
+CLAIM_GIVE_UP_S = 2.0
+WARM_UP_S = 8.0
+CLOCK_DRIFT = 0.0005
+MAX_CLOCK_OFFSET_S = 500.0
+
+
+@dataclass(slots=True)
+class Host:
+    """An instance: its world, its clock, and whether it runs now."""
+
+    world: World
+    clock_offset_s: float
+    clock_rate: float
+    is_paused: bool = False
+    is_gone: bool = False
+    pending: list[Input] = field(default_factory=list)
+    tick_at_s: float = -1.0
+
+    def local_s(self, now_s: float) -> float:
+        """Read the instance's own clock."""
+        return now_s * self.clock_rate + self.clock_offset_s
+
+
+@dataclass(slots=True)
+class Fate:
+    """A request and what became of it."""
+
+    seat: str
+    account: str
+    arrived: RequestArrived
+    arrived_s: float
+    service_s: float
+    ended_s: float = 0.0
+    verdict: Verdict | None = None
+
+
+@dataclass(slots=True)
+class Trouble:
+    """Probabilities of losing, repeating and delaying a message between instances."""
+
+    lost: float = 0.0
+    repeated: float = 0.0
+    late: float = 0.0
+    max_late_s: float = 5.0
+
+
+@dataclass(slots=True)
+class VirtualFleet:
+    """Worlds, servers and a store, stepped through virtual time.
+
+    Attributes:
+        delay_s: One-way delay between two data centres.
+        cut_regions: Regions that reach no other region and not the store.
+        fates: All requests, in order of arrival.
+        admitted_s: When requests of each account were admitted.
+    """
+
+    document: Document
+    rng: random.Random
+    delay_s: Callable[[str, str], float]
+    policies: Policies
+    servers: VirtualServers
+    trouble: Trouble = field(default_factory=Trouble)
+    cut_regions: set[str] = field(default_factory=set)
+    is_store_up: bool = True
+    revision: int = 1
+    seats_revision: int = 1
+    now_s: float = 1000.0
+    hosts: dict[str, Host] = field(default_factory=dict)
+    claims: dict[str, str] = field(default_factory=dict)
+    fates: list[Fate] = field(default_factory=list)
+    admitted_s: dict[str, list[float]] = field(default_factory=dict)
+    messages: Counter[str] = field(default_factory=Counter)
+    _open: dict[tuple[str, int, int], Fate] = field(default_factory=dict)
+    _events: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
+    _n_events: int = 0
+
+    def later(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Schedule an action."""
+        self._n_events += 1
+        heapq.heappush(self._events, (self.now_s + delay_s, self._n_events, action))
+
+    def run_for(self, duration_s: float) -> None:
+        """Carry out everything that happens within a duration."""
+        end_s = self.now_s + duration_s
+        while self._events and self._events[0][0] <= end_s:
+            self.now_s, _, action = heapq.heappop(self._events)
+            action()
+        self.now_s = end_s
+
+    def add_host(self, seat: str, incarnation: int = 1) -> Host:
+        """Start an instance, in place of the one that had the seat."""
+        place = seat.rpartition("-")[0]
+        region = self.document[f"data_centre {place}"]["region"]
+        offset_s = self.rng.uniform(-MAX_CLOCK_OFFSET_S, MAX_CLOCK_OFFSET_S)
+        rate = 1 + self.rng.uniform(-CLOCK_DRIFT, CLOCK_DRIFT)
+        identity = Identity(seat, place, region, incarnation, seat, seat)
+        local_s = self.now_s * rate + offset_s
+        world = create_world(identity, local_s, self.policies, incarnation)
+        if seat in self.hosts:
+            self.hosts[seat].is_gone = True
+        host = Host(world, offset_s, rate)
+        self.hosts[seat] = host
+        self._poll(host)
+        return host
+
+    def replace_host(self, seat: str) -> Host:
+        """Kill an instance and start another on its seat."""
+        return self.add_host(seat, self.hosts[seat].world.identity.incarnation + 1)
+
+    def resume(self, host: Host) -> None:
+        """Let a paused instance go on with what has piled up."""
+        host.is_paused = False
+        self._tick(host)
+
+    def change(self, document: Document) -> None:
+        """Accept a configuration in the store."""
+        places = {t: b for t, b in document.items() if t.startswith("data_centre")}
+        self.revision += 1
+        if any(self.document.get(title) != body for title, body in places.items()):
+            self.seats_revision = self.revision
+        self.document = document
+
+    def send(
+        self, seat: str, arrived: RequestArrived, account: str, service_s: float
+    ) -> Fate:
+        """Let a request arrive at an instance."""
+        fate = Fate(seat, account, arrived, self.now_s, service_s)
+        self.fates.append(fate)
+        host = self.hosts[seat]
+        if not host.is_gone:
+            arrived.request_id = len(self.fates)
+            self._open[self._key(host, arrived.request_id)] = fate
+            self._give(host, [arrived])
+        return fate
+
+    def _key(self, host: Host, request_id: int) -> tuple[str, int, int]:
+        me = host.world.identity
+        return me.seat, me.incarnation, request_id
+
+    def _reaches(self, a: str, b: str) -> bool:
+        return a == b or not {a, b} & self.cut_regions
+
+    def _reaches_store(self, region: str) -> bool:
+        first = next(b["region"] for b in self.document.values() if "region" in b)
+        return self.is_store_up and self._reaches(region, first)
+
+    def _poll(self, host: Host) -> None:
+        """Read the store and the lists, and probe the servers near by."""
+        if host.is_gone:
+            return
+        self.later(POLL_S, lambda: self._poll(host))
+        region = host.world.identity.region
+        inputs: list[Input] = []
+        if self._reaches_store(region):
+            found = Snapshot(self.revision, self.document, self.seats_revision)
+            if host.world.configuration.revision < self.revision:
+                inputs.append(ConfigurationOffered(found, [], True))
+            inputs += [StoreContacted(self.revision), *self._lists()]
+        for row in self.servers.rows.values():
+            if row.region == region and not row.is_down:
+                probed = ServerProbed(row.server_id, row.n_used, True, str(row.life))
+                inputs.append(probed)
+        self._give(host, inputs)
+
+    def _lists(self) -> list[Input]:
+        peers = [
+            PeerListing(seat, seat, seat, host.world.identity.data_centre)
+            for seat, host in self.hosts.items()
+            if not host.is_gone
+        ]
+        by_pool: dict[str, list[ServerListing]] = {}
+        for row in self.servers.rows.values():
+            listing = ServerListing(
+                row.server_id, row.pool, "", row.data_centre, row.is_leaving
+            )
+            by_pool.setdefault(row.pool, []).append(listing)
+        listed = [ServersListed(pool, rows) for pool, rows in by_pool.items()]
+        return [PeersListed(peers), *listed]
+
+    def _give(self, host: Host, inputs: list[Input]) -> None:
+        host.pending += inputs
+        self._tick(host)
+
+    def _tick(self, host: Host) -> None:
+        if host.is_paused or host.is_gone:
+            return
+        inputs, host.pending = host.pending, []
+        counters = host.world.counters
+        accounts = list(host.world.configuration.client_accounts)
+        before = {account: counters["admitted", account] for account in accounts}
+        effects = run_tick(host.world, host.local_s(self.now_s), inputs)
+        for account in accounts:
+            n_new = counters["admitted", account] - before[account]
+            if n_new:
+                times = self.admitted_s.setdefault(account, [])
+                times.extend([self.now_s] * n_new)
+        for effect in effects:
+            self._carry_out(host, effect)
+        self._arm(host)
+
+    def _arm(self, host: Host) -> None:
+        next_s = host.world.deadlines.next_s()
+        if next_s is None or host.is_gone:
+            return
+        when_s = (next_s - host.clock_offset_s) / host.clock_rate + 1e-6
+        if not self.now_s < host.tick_at_s <= when_s:
+            host.tick_at_s = max(when_s, self.now_s)
+            self.later(host.tick_at_s - self.now_s, lambda: self._tick(host))
+
+    def _carry_out(self, host: Host, effect: Effect) -> None:
+        match effect:
+            case SendPeer():
+                self._deliver(host, effect)
+            case StartAttempt():
+                self._attempt(host, effect)
+            case WriteClaim():
+                self._claim(host, effect)
+            case AnswerCaller(request_id=number, verdict=verdict):
+                fate = self._open.pop(self._key(host, number))
+                fate.ended_s = self.now_s
+                fate.verdict = verdict
+            case Exit():
+                host.is_gone = True
+            case _:
+                pass
+
+    def _deliver(self, host: Host, effect: SendPeer) -> None:
+        target = self.hosts.get(effect.seat)
+        if target is None or target.is_gone:
+            return
+        here = host.world.identity
+        there = target.world.identity
+        if not self._reaches(here.region, there.region):
+            return
+        self.messages[type(effect.message).__name__] += 1
+        n_copies = int(self.rng.random() >= self.trouble.lost)
+        n_copies += self.rng.random() < self.trouble.repeated
+        received: list[Input] = [PeerReceived(effect.message)]
+        for _ in range(n_copies):
+            delay_s = self.delay_s(here.data_centre, there.data_centre)
+            if self.rng.random() < self.trouble.late:
+                delay_s += self.rng.uniform(0.0, self.trouble.max_late_s)
+            self.later(delay_s, lambda: self._give(target, received))
+
+    def _attempt(self, host: Host, effect: StartAttempt) -> None:
+        server = self.servers.rows[effect.server_id]
+        here = host.world.identity
+        delay_s = self.delay_s(here.data_centre, server.data_centre)
+        fate = self._open[self._key(host, effect.request_id)]
+
+        def report(outcome: Outcome) -> None:
+            ended = AttemptEnded(effect.request_id, effect.attempt_id, outcome)
+            self.later(delay_s, lambda: self._give(host, [ended]))
+
+        if not self._reaches(here.region, server.region):
+            report(ConnectFailed())
+            return
+        arrived = fate.arrived
+        work = Work(
+            arrived.idempotency_key, arrived.body_digest, fate.service_s, report
+        )
+        self.later(
+            delay_s, lambda: self.servers.begin(effect.server_id, work, self.now_s)
+        )
+
+    def _claim(self, host: Host, effect: WriteClaim) -> None:
+        here = host.world.identity
+        result = ClaimResult.UNKNOWN
+        wait_s = CLAIM_GIVE_UP_S
+        if self._reaches_store(here.region):
+            owner = self.claims.setdefault(effect.key, effect.nonce)
+            is_ours = owner == effect.nonce
+            result = ClaimResult.OURS if is_ours else ClaimResult.TAKEN
+            wait_s = 2 * STORE_DELAY_S
+        settled = ClaimSettled(effect.request_id, result)
+        self.later(wait_s, lambda: self._give(host, [settled]))
+
+
+def start_fleet(
+    document: Document,
+    seed: int,
+    n_servers: dict[str, int],
+    delay_s: Callable[[str, str], float],
+    policies: Policies | None = None,
+) -> VirtualFleet:
+    """Start a fleet with a daemon on each seat and servers in each data centre."""
+    rng = random.Random(seed)
+    servers = VirtualServers(lambda delay_s, action: None)
+    fleet = VirtualFleet(document, rng, delay_s, policies or Policies(), servers)
+    servers.later = fleet.later
+    configuration, _ = check_document(document)
+    places = list(configuration.data_centres.values())
+    for pool, n_total in n_servers.items():
+        n_slots = configuration.pools[pool].n_slots_per_server
+        for number in range(n_total):
+            place = places[number % len(places)]
+            name = f"{pool}-{place.name}-{number}"
+            servers.rows[name] = VirtualServer(
+                name, pool, place.name, place.region, n_slots
+            )
+    for seat in configuration.seats():
+        fleet.add_host(seat)
+    fleet.run_for(WARM_UP_S)
+    return fleet
--- /dev/null
+++ b/src/rhubarbspan/standins/virtual_servers.py
@@ -0,0 +1,107 @@
+"""Backend servers in virtual time: slots, shedding, slowness, deaths."""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ..inputs import Completed, ConnectFailed, ConnectionLost, Outcome, Shed
+
+Report = Callable[[Outcome], None]
+
+
+@dataclass(slots=True)
+class Work:
+    """A request on its way to a server.
+
+    Attributes:
+        report: Called with the outcome when it is known at the server.
+    """
+
+    idempotency_key: str
+    body_digest: str
+    service_s: float
+    report: Report
+
+
+@dataclass(slots=True)
+class VirtualServer:
+    """A backend server with a number of slots.
+
+    Attributes:
+        life: Number of the process's life.
+        n_foreign: Slots that others use.
+        slowness: Factor of the service time.
+        starts_s: When it started requests.
+        max_used: The most slots in use at once.
+    """
+
+    server_id: str
+    pool: str
+    data_centre: str
+    region: str
+    n_slots: int
+    running: dict[int, Work] = field(default_factory=dict)
+    life: int = 1
+    is_down: bool = False
+    is_leaving: bool = False
+    n_foreign: int = 0
+    slowness: float = 1.0
+    starts_s: list[float] = field(default_factory=list)
+    max_used: int = 0
+
+    @property
+    def n_used(self) -> int:
+        """Count the slots in use by anyone."""
+        return len(self.running) + self.n_foreign
+
+
+@dataclass(slots=True)
+class VirtualServers:
+    """All backend servers, and how often each idempotency key ran.
+
+    Attributes:
+        later: Schedules an action after a delay.
+        crash_digest: A request with this body kills each server that runs it.
+    """
+
+    later: Callable[[float, Callable[[], None]], None]
+    rows: dict[str, VirtualServer] = field(default_factory=dict)
+    runs: Counter[str] = field(default_factory=Counter)
+    crash_digest: str = ""
+    n_deaths: int = 0
+    n_works: int = 0
+
+    def begin(self, server_id: str, work: Work, now_s: float) -> None:
+        """Let a request arrive at a server."""
+        server = self.rows[server_id]
+        if server.is_down:
+            work.report(ConnectFailed())
+            return
+        if server.n_used >= server.n_slots:
+            work.report(Shed())
+            return
+        self.n_works += 1
+        number = self.n_works
+        server.running[number] = work
+        server.starts_s.append(now_s)
+        server.max_used = max(server.max_used, server.n_used)
+        if self.crash_digest and work.body_digest == self.crash_digest:
+            self.kill(server)
+            return
+        life = server.life
+
+        def finish() -> None:
+            if server.life == life and server.running.pop(number, None) is not None:
+                self.runs[work.idempotency_key] += bool(work.idempotency_key)
+                work.report(Completed(200))
+
+        self.later(work.service_s * server.slowness, finish)
+
+    def kill(self, server: VirtualServer) -> None:
+        """Let a server's process die; another life begins at once."""
+        self.n_deaths += 1
+        server.life += 1
+        lost = list(server.running.values())
+        server.running.clear()
+        for work in lost:
+            work.report(ConnectionLost())
