Hand tokens over when an account's holder changes

Cause: at the onset of demand the holder moves to where it is. The old holder dropped its tokens when it gave shares back, the new one refused while it had none, and other instances asked one that held nothing. Change: returns carry the share's tokens, a home passes a free share on to the holder that asked last, instances go on asking whoever has the shares, unspent borrowed tokens are given back, and clocks that run fast mint no more than the rate.

--- a/src/rhubarbspan/peer_messages.py
+++ b/src/rhubarbspan/peer_messages.py
@@ -145,10 +145,15 @@
 
 @dataclass(slots=True)
 class ReturnedShare:
-    """A share that a holder gives back before its term is over."""
+    """A share that a holder gives back before its term is over.
+
+    Attributes:
+        tokens: Tokens given back with it.
+    """
 
     account: str
     delegation_id: int
+    tokens: float = 0.0
 
 
 @dataclass(slots=True)
--- a/src/rhubarbspan/systems/admission.py
+++ b/src/rhubarbspan/systems/admission.py
@@ -22,7 +22,7 @@
 from .sharing import live_holder
 
 MAX_WAIT_S = 0.5
-ASK_TIMEOUT_S = 0.3
+ASK_TIMEOUT_S = 0.45
 ASK_INTERVAL_S = 0.01
 PREFETCH_S = 0.15
 PREFETCH_MIN_RATE_PER_S = 20.0
@@ -188,6 +188,8 @@
     n_prefetch = _prefetch(world, now_s, bucket)
     n_missing = n_waiting + n_prefetch - n_borrowed(bucket, now_s) - bucket.n_asked
     is_urgent = n_waiting > bucket.n_asked or n_missing >= max(1, n_prefetch // 2)
+    if not n_waiting:
+        _return_surplus(bucket, now_s, n_prefetch)
     reports = _collect_reports(bucket, peer.seat, peer.incarnation)
     n_wanted = n_missing if is_urgent and n_missing > 0 else 0
     if not n_wanted and not reports:
@@ -206,6 +208,17 @@
     return int(demand_per_s * PREFETCH_S)
 
 
+def _return_surplus(bucket: BucketRow, now_s: float, n_prefetch: int) -> None:
+    """Give back borrowed tokens that nobody waits for.
+
+    An account with a prefetch keeps its tokens until they get old.
+    """
+    for row in bucket.borrowed.values():
+        is_old = row.until_s - now_s < TOKEN_TERM_S / 2
+        if row.n_left > 0 and (is_old or not n_prefetch):
+            row.n_returned += row.n_left
+
+
 def _collect_reports(
     bucket: BucketRow, holder: str, incarnation: int
 ) -> list[LoanReport]:
@@ -213,9 +226,9 @@
     for key, row in list(bucket.borrowed.items()):
         if (row.holder, row.holder_incarnation) != (holder, incarnation):
             continue
-        if row.n_spent == row.n_reported:
+        if row.n_spent + row.n_returned == row.n_reported:
             continue
-        row.n_reported = row.n_spent
+        row.n_reported = row.n_spent + row.n_returned
         reports.append(
             LoanReport(bucket.account, row.loan_id, row.n_spent, row.n_returned)
         )
--- a/src/rhubarbspan/systems/bucketing.py
+++ b/src/rhubarbspan/systems/bucketing.py
@@ -7,7 +7,7 @@
 from ..tables.buckets import BucketRow
 
 DEMAND_HALF_LIFE_S = 2.0
-MAX_CLOCK_DRIFT = 0.02
+MAX_CLOCK_DRIFT = 0.0005
 DRIFT_MARGIN_S = 0.1
 TOKEN_TERM_S = 1.0
 
@@ -16,17 +16,18 @@
     """Return how long the granting side waits for a term granted to another clock.
 
     Example:
-        >>> round(lender_term_s(1.0), 2)
-        1.12
+        >>> round(lender_term_s(1.0), 3)
+        1.101
     """
-    return term_s * (1 + MAX_CLOCK_DRIFT) + DRIFT_MARGIN_S
+    return term_s * (1 + 2 * MAX_CLOCK_DRIFT) + DRIFT_MARGIN_S
 
 
 def mint(bucket: BucketRow, now_s: float) -> None:
     """Mint tokens up to ``now_s`` and drop shares, loans and debts that lapsed."""
     for share in list(bucket.shares.values()):
         end_s = min(now_s, share.until_s)
-        factor = ramp_factor(bucket, bucket.minted_s)
+        # A clock that runs fast must not mint more than the rate.
+        factor = ramp_factor(bucket, bucket.minted_s) * (1 - MAX_CLOCK_DRIFT)
         bucket.n_tokens += max(0.0, end_s - bucket.minted_s) * share.rate_per_s * factor
         if share.until_s <= now_s:
             del bucket.shares[share.home]
@@ -66,6 +67,17 @@
     return max(0, math.floor(min(bucket.n_tokens, burst - n_lent(bucket)) + 1e-9))
 
 
+def is_backed_without(bucket: BucketRow, home: str) -> bool:
+    """Tell whether the loans are covered for their whole term without one share."""
+    end_s = max((loan.until_s for loan in bucket.loans.values()), default=0.0)
+    burst = sum(
+        share.burst
+        for share in bucket.shares.values()
+        if share.home != home and share.until_s >= end_s
+    )
+    return burst >= n_lent(bucket)
+
+
 def mint_rate_per_s(bucket: BucketRow) -> float:
     """Return the rate at which the bucket mints."""
     return sum(share.rate_per_s for share in bucket.shares.values())
--- a/src/rhubarbspan/systems/sharing.py
+++ b/src/rhubarbspan/systems/sharing.py
@@ -21,6 +21,7 @@
 )
 from ..policies import PooledShares, StaticShares, Uncoordinated
 from ..tables.buckets import (
+    AskingRow,
     BorrowedRow,
     BucketRow,
     DelegatedRow,
@@ -32,10 +33,11 @@
 from ..world import World
 from .bucketing import (
     capacity,
+    holds_foreign_shares,
     home_share,
+    is_backed_without,
     lender_term_s,
     mint,
-    n_lent,
     rendezvous_score,
     smoothed_demand_per_s,
 )
@@ -43,7 +45,7 @@
 DELEGATION_TERM_S = 3.0
 STARTUP_S = lender_term_s(DELEGATION_TERM_S) + 0.5
 HOLDER_ADVANTAGE = 2.0
-WANT_TERM_S = 0.6
+WANT_TERM_S = 0.45
 SHIFT_PREFIX = "shift:"
 FOREVER_S = 1e18
 
@@ -63,7 +65,7 @@
             case DelegationGrant() as grant:
                 _take_delegation(world, now_s, grant)
             case DelegationReturn() as returned:
-                _take_share_back(world, now_s, returned)
+                effects += _take_share_back(world, now_s, returned)
             case TokenRequest() as wanted:
                 _note_token_request(world, now_s, wanted)
             case TokenGrant() as granted:
@@ -265,6 +267,7 @@
         bucket = world.buckets.get(account)
         if bucket is None:
             continue
+        bucket.asking = AskingRow(request.seat, request.incarnation, request.asked_s)
         share = _delegate(world, now_s, bucket, request)
         if share is not None:
             shares.append(share)
@@ -300,7 +303,7 @@
         return None
     mint(bucket, now_s)
     own = bucket.shares.get(world.identity.seat)
-    if own is None or capacity(bucket) + n_lent(bucket) - own.burst < n_lent(bucket):
+    if own is None or not is_backed_without(bucket, own.home):
         return None
     n_tokens = min(bucket.n_tokens, own.burst)
     del bucket.shares[own.home]
@@ -334,11 +337,15 @@
             continue
         if grant.asked_s <= bucket.returned_s.get(grant.seat, -1e9):
             continue
-        _add_share(bucket, now_s, grant, share)
+        _add_share(world, bucket, now_s, grant, share)
 
 
 def _add_share(
-    bucket: BucketRow, now_s: float, grant: DelegationGrant, share: DelegatedShare
+    world: World,
+    bucket: BucketRow,
+    now_s: float,
+    grant: DelegationGrant,
+    share: DelegatedShare,
 ) -> None:
     mint(bucket, now_s)
     until_s = grant.asked_s + grant.term_s
@@ -362,34 +369,46 @@
     )
     if is_first:
         bucket.n_tokens += share.tokens
+        world.thirsty[bucket.account] = None
+        world.deadlines.arm(now_s, Timer.HEARTBEAT, "extra")
     bucket.n_tokens = min(bucket.n_tokens, capacity(bucket))
 
 
 def _return_shares(world: World, now_s: float, bucket: BucketRow) -> Effects:
-    """Give foreign shares back as soon as no loan rests on them."""
+    """Give foreign shares back, with their part of the tokens.
+
+    Shares on which loans rest stay until the loans are over.
+    """
     foreign = [share for share in bucket.shares.values() if share.delegation_id]
     if not foreign:
         return []
     mint(bucket, now_s)
-    own = bucket.shares.get(world.identity.seat)
-    if n_lent(bucket) > (own.burst if own else 0.0):
-        return []
     effects: Effects = []
-    me = world.identity
     for share in foreign:
-        bucket.shares.pop(share.home, None)
+        if not is_backed_without(bucket, share.home):
+            break
+        part = share.burst / max(share.burst, capacity(bucket))
+        n_tokens = bucket.n_tokens * part
+        bucket.n_tokens -= n_tokens
+        del bucket.shares[share.home]
         bucket.returned_s[share.home] = now_s
-        message = DelegationReturn(
-            me.seat,
-            me.incarnation,
-            [ReturnedShare(bucket.account, share.delegation_id)],
-        )
-        effects.append(SendPeer(share.home, message))
-    bucket.n_tokens = min(bucket.n_tokens, capacity(bucket))
+        effects.append(_return_share(world, bucket, share, n_tokens))
+    if effects:
+        world.deadlines.arm(now_s, Timer.HEARTBEAT, "extra")
     return effects
 
 
-def _take_share_back(world: World, now_s: float, returned: DelegationReturn) -> None:
+def _return_share(
+    world: World, bucket: BucketRow, share: ShareRow, n_tokens: float
+) -> SendPeer:
+    me = world.identity
+    returned = ReturnedShare(bucket.account, share.delegation_id, n_tokens)
+    message = DelegationReturn(me.seat, me.incarnation, [returned])
+    return SendPeer(share.home, message)
+
+
+def _take_share_back(world: World, now_s: float, returned: DelegationReturn) -> Effects:
+    effects: Effects = []
     for share in returned.shares:
         bucket = world.buckets.get(share.account)
         if bucket is None or bucket.delegated is None:
@@ -402,6 +421,23 @@
             continue
         bucket.delegated = None
         _mint_at_home(world, now_s, bucket)
+        bucket.n_tokens = min(bucket.n_tokens + share.tokens, capacity(bucket))
+        effects += _delegate_to_asking(world, now_s, bucket)
+    return effects
+
+
+def _delegate_to_asking(world: World, now_s: float, bucket: BucketRow) -> Effects:
+    """Pass a share that became free on to the holder that asked for it last.
+
+    The holder counts its term from when it asked, so an old request is still good.
+    """
+    asking = bucket.asking
+    if asking is None or asking.holder != bucket.holder:
+        return []
+    request = DelegationRequest(
+        asking.holder, asking.holder_incarnation, asking.asked_s, [bucket.account]
+    )
+    return _answer_delegation_request(world, now_s, request)
 
 
 def _note_token_request(world: World, now_s: float, request: TokenRequest) -> None:
@@ -409,7 +445,7 @@
         _note_reports(world, now_s, request)
     for want in request.wants:
         bucket = world.buckets.get(want.account)
-        if bucket is None or bucket.holder != world.identity.seat:
+        if bucket is None or not bucket.shares:
             continue
         bucket.wants.append(
             WantRow(
@@ -468,8 +504,22 @@
 
 
 def live_holder(world: World, bucket: BucketRow) -> PeerRow | None:
-    """Return the peer that holds an account's shares, or None if it is this one."""
-    if bucket.holder == world.identity.seat:
+    """Return the peer to ask for tokens, or None if there is none to ask.
+
+    While the shares move to another holder, the peers' heartbeats tell who has them.
+    """
+    if holds_foreign_shares(bucket):
         return None
-    peer = world.peers.get(bucket.holder)
-    return peer if peer is not None and peer.is_alive else None
+    chosen = world.peers.get(bucket.holder)
+    is_alive = chosen is not None and chosen.is_alive
+    if is_alive and chosen is not None and _claims_shares(chosen, bucket.account):
+        return chosen
+    for peer in world.peers.alive():
+        if _claims_shares(peer, bucket.account):
+            return peer
+    return chosen if is_alive else None
+
+
+def _claims_shares(peer: PeerRow, account: str) -> bool:
+    demand = peer.demands.get(account)
+    return demand is not None and demand.is_holder
--- a/src/rhubarbspan/tables/buckets.py
+++ b/src/rhubarbspan/tables/buckets.py
@@ -71,6 +71,15 @@
     until_s: float
 
 
+@dataclass(slots=True)
+class AskingRow:
+    """The newest request for the own home share, kept in case it becomes free."""
+
+    holder: str
+    holder_incarnation: int
+    asked_s: float
+
+
 @dataclass(slots=True)
 class DelegatedRow:
     """The instance's own share while another instance mints from it."""
@@ -104,6 +113,7 @@
         ramp_s: Time over which the rate rises from zero, for shifts.
         returned_s: When shares were given back, by home seat; grants that were
             asked for earlier are void.
+        asking: Who asked for the own share last, or None.
     """
 
     account: str
@@ -129,6 +139,7 @@
     ramp_s: float = 0.0
     ramp_start_s: float = 0.0
     returned_s: dict[str, float] = field(default_factory=dict)
+    asking: AskingRow | None = None
 
 
 class Buckets:
