Fuzz the fleet against an oracle, and show that the checks catch faults

Found by the fuzzer: a lapsed share was dropped between listing foreign shares and returning them, which raised KeyError in the tick; mended by minting first. A fault in one tick no longer stops the later ones.

--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,6 @@
 	@rm -rf build/measure
 	@$(MAKE) --no-print-directory -j 6 $(MEASURED)
 	@$(RUN) -m rhubarbspan.measure table $(MEASURED) | tee docs/MEASURED.txt
+
+fuzz: setup
+	FUZZ_EXAMPLES=600 FUZZ_STEPS=60 $(RUN) -m pytest tests/test_fuzz.py
--- a/src/rhubarbspan/edge/ticker.py
+++ b/src/rhubarbspan/edge/ticker.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+import logbook
 from reactivex import Subject
 
 from ..effects import Effect
@@ -10,6 +11,8 @@
 from ..tick import run_tick
 from ..world import World
 
+LOG = logbook.Logger("rhubarbspan")
+
 
 class Ticker:
     """Runs a tick when inputs arrived or a deadline is due; it sleeps otherwise.
@@ -74,8 +77,14 @@
         inputs = self._pending
         self._pending = []
         self.n_ticks += 1
-        for effect in run_tick(self.world, self._clock(), inputs):
-            self.effects.on_next(effect)
+        try:
+            for effect in run_tick(self.world, self._clock(), inputs):
+                self.effects.on_next(effect)
+        except Exception:
+            # A fault in one tick must not stop the instance: later ticks go on, and
+            # what this one left undone ends at its deadline.
+            self.world.count("tick_failures")
+            LOG.exception("a tick failed")
         self._arm_timer()
 
     def _arm_timer(self) -> None:
--- a/src/rhubarbspan/systems/sharing.py
+++ b/src/rhubarbspan/systems/sharing.py
@@ -379,10 +379,10 @@
 
     Shares on which loans rest stay until the loans are over.
     """
-    foreign = [share for share in bucket.shares.values() if share.delegation_id]
-    if not foreign:
+    if not holds_foreign_shares(bucket):
         return []
     mint(bucket, now_s)
+    foreign = [share for share in bucket.shares.values() if share.delegation_id]
     effects: Effects = []
     for share in foreign:
         if not is_backed_without(bucket, share.home):
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,128 @@
+"""Limits over a fleet under constant pressure, and faults that must be caught."""
+
+import random
+from collections.abc import Callable
+
+import pytest
+
+from mutants import MUTANTS, Mutant
+from rhubarbspan.inputs import PeerReceived, RequestArrived
+from rhubarbspan.measure.oracle import Limit, over_admission
+from rhubarbspan.peer_messages import (
+    DelegatedShare,
+    DelegationGrant,
+    DelegationReturn,
+    ReturnedShare,
+)
+from rhubarbspan.standins.virtual_fleet import Trouble, VirtualFleet, start_fleet
+from rhubarbspan.tables.buckets import BucketRow, ShareRow
+from rhubarbspan.world import World
+from test_fuzz import ACCOUNTS, REGIONS, SEATS, small_document
+
+FLOOD_S = 24.0
+EVENT_S = 0.7
+REQUEST_S = 0.02
+
+
+def delay_s(here: str, there: str) -> float:
+    """Return the delay between data centres."""
+    return 0.001 if here == there else 0.02
+
+
+def flood(fleet: VirtualFleet, seats: tuple[str, ...], account: str) -> None:
+    """Send more than the account's rate to all seats for a while."""
+    key_hash = fleet.document[f"client_account {account}"]["key_hashes"]
+
+    def send(seat: str) -> Callable[[], None]:
+        arrived = RequestArrived(0, "/look", key_hash)
+        return lambda: fleet.send(seat, arrived, account, 0.01) and None
+
+    for number in range(int(FLOOD_S / REQUEST_S)):
+        fleet.later(number * REQUEST_S, send(seats[number % len(seats)]))
+
+
+def run_hard_day(seed: int) -> float:
+    """Flood a fleet amid faults; return the worst over-admission."""
+    fleet = start_fleet(small_document(), seed, {"shop": 6}, delay_s)
+    rng = random.Random(seed)
+    for account in ACCOUNTS:
+        flood(fleet, SEATS, account)
+    for _ in range(int(FLOOD_S / EVENT_S)):
+        fleet.run_for(EVENT_S)
+        seat = rng.choice(SEATS)
+        match rng.randrange(5):
+            case 0:
+                fleet.replace_host(seat)
+            case 1:
+                fleet.cut_regions = set(rng.sample(REGIONS, rng.randrange(2)))
+            case 2:
+                host = fleet.hosts[seat]
+                host.is_paused = True
+                fleet.later(rng.uniform(0.1, 5.0), lambda h=host: fleet.resume(h))
+            case 3:
+                fleet.trouble = Trouble(0.1, 0.1, rng.choice([0.0, 0.2]))
+            case _:
+                fleet.trouble = Trouble()
+    fleet.run_for(6.0)
+    worst = 0.0
+    for name, (rate, burst) in ACCOUNTS.items():
+        admitted_s = fleet.admitted_s.get(name, [])
+        assert len(admitted_s) > rate * FLOOD_S * 0.1
+        worst = max(worst, over_admission(Limit(rate, burst), admitted_s))
+    return worst
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_no_account_gets_more_than_its_limit_on_a_hard_day(seed: int) -> None:
+    assert run_hard_day(seed) == 0.0
+
+
+@pytest.mark.parametrize("mutant", MUTANTS, ids=lambda mutant: mutant.name)
+def test_checks_catch_deliberate_faults(
+    mutant: Mutant, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(mutant.module, mutant.attribute, mutant.value)
+    assert any(run_hard_day(seed) > 0.0 for seed in range(4))
+
+
+def test_late_grant_after_a_return_is_void() -> None:
+    fleet = start_fleet(small_document(), 1, {"shop": 6}, delay_s)
+    holder = next(
+        host
+        for host in fleet.hosts.values()
+        if any(s.delegation_id for s in _bucket(host.world, "ana").shares.values())
+    )
+    bucket = _bucket(holder.world, "ana")
+    share = next(s for s in bucket.shares.values() if s.delegation_id)
+    bucket.returned_s[share.home] = holder.local_s(fleet.now_s)
+    del bucket.shares[share.home]
+    asked_s = holder.local_s(fleet.now_s) - 0.5
+    grant = DelegationGrant(
+        share.home, share.home_incarnation, 1, asked_s, 3.0, [_describe(share)]
+    )
+    fleet._give(holder, [PeerReceived(grant)])
+    assert share.home not in bucket.shares
+
+
+def test_return_of_an_older_delegation_is_ignored() -> None:
+    fleet = start_fleet(small_document(), 1, {"shop": 6}, delay_s)
+    home = next(h for h in fleet.hosts.values() if _bucket(h.world, "ana").delegated)
+    delegated = _bucket(home.world, "ana").delegated
+    assert delegated is not None
+    older = ReturnedShare("ana", delegated.delegation_id - 1, 5.0)
+    incarnation = delegated.holder_incarnation
+    returned = DelegationReturn(delegated.holder, incarnation, [older])
+    fleet._give(home, [PeerReceived(returned)])
+    assert _bucket(home.world, "ana").delegated == delegated
+
+
+def _bucket(world: World, account: str) -> BucketRow:
+    bucket = world.buckets.get(account)
+    assert bucket is not None
+    return bucket
+
+
+def _describe(share: ShareRow) -> DelegatedShare:
+    return DelegatedShare(
+        "ana", share.rate_per_s, share.burst, share.delegation_id, share.burst
+    )
