Hold back copies and retries of requests that may crash servers

Change: requests that look the same run one at a time on an instance until one has run without harm; a request lost with a server waits 0.1 s before its retry; a quarantined one is refused when its turn comes.

--- a/src/rhubarbspan/systems/dispatch.py
+++ b/src/rhubarbspan/systems/dispatch.py
@@ -16,7 +16,7 @@
 from .refusing import refuse
 from .shifting import choose_shift, link_between, shift_target
 from .slots import is_available, n_free_slots, owned_servers
-from .suspicion import is_suspect
+from .suspicion import is_quarantined, is_suspect, must_wait, note_start
 
 SPILL_AFTER_S = 0.03
 SHIFT_PATIENCE_S = 0.3
@@ -58,6 +58,13 @@
         row = next_waiting(world, queue)
         if row is None:
             break
+        if is_quarantined(world, now_s, row.fingerprint):
+            verdict = row.last_verdict or NotRun(Reason.QUARANTINED)
+            effects += refuse(world, now_s, row, verdict)
+            continue
+        if must_wait(world, now_s, row):
+            skipped.append(row)
+            continue
         if not row.shift:
             row.shift = choose_shift(world, now_s, row)
         slot = _pick_borrowed(world, now_s, row, slots)
@@ -196,6 +203,7 @@
     row.server_id = server_id
     row.sent_s = now_s
     mark_claim_used(world, row)
+    note_start(world, row)
     world.count("attempts", queue.pool)
     timeout_s = max(0.001, row.deadline_s - now_s)
     return StartAttempt(
--- a/src/rhubarbspan/systems/outcomes.py
+++ b/src/rhubarbspan/systems/outcomes.py
@@ -20,7 +20,7 @@
 from ..world import World
 from .queueing import rejoin_queue
 from .refusing import SERVER_ERROR_STATUS, finish, refuse
-from .suspicion import acquit, is_quarantined, suspect
+from .suspicion import acquit, is_quarantined, note_end, suspect
 
 MAX_ATTEMPTS = 4
 SERVICE_SMOOTHING = 0.05
@@ -30,6 +30,7 @@
 EJECTION_S = 2.0
 MAX_EJECTION_S = 60.0
 SHED_PAUSE_S = 0.1
+SUSPECT_PAUSE_S = 0.1
 
 
 def settle_attempts(world: World, now_s: float, inbox: Inbox) -> Effects:
@@ -85,6 +86,8 @@
             lost = MayHaveRun(reason)
             if has_begun or is_spent or row.route.kind is not RouteKind.IDEMPOTENT:
                 return effects + refuse(world, now_s, row, lost)
+            row.not_before_s = now_s + SUSPECT_PAUSE_S
+            world.deadlines.arm(row.not_before_s, Timer.SERVER, row.route.pool)
             return effects + _retry_or(world, now_s, row, lost)
         case TimedOut():
             effects += _score(world, now_s, server, True)
@@ -96,6 +99,7 @@
 
 
 def _free_slot(world: World, row: RequestRow) -> None:
+    note_end(world, row)
     server = world.servers.get(row.server_id)
     if server is not None:
         server.running.pop(row.request_id, None)
--- a/src/rhubarbspan/systems/suspicion.py
+++ b/src/rhubarbspan/systems/suspicion.py
@@ -46,7 +46,10 @@
 
 def acquit(world: World, row: RequestRow) -> None:
     """Clear a request of the deaths so far: it has just run without harm."""
-    suspected = world.suspects.get(row.fingerprint) if row.fingerprint else None
+    if not row.fingerprint:
+        return
+    world.suspects.prove(row.fingerprint)
+    suspected = world.suspects.get(row.fingerprint)
     if suspected is None:
         return
     suspected.cleared.update(dict.fromkeys(suspected.deaths))
@@ -65,6 +68,34 @@
     return row is not None and now_s < row.quarantined_until_s
 
 
+def must_wait(world: World, now_s: float, row: RequestRow) -> bool:
+    """Tell whether a request must not be sent yet.
+
+    Requests that look the same run one at a time here until one of them has run
+    without harm, and a request lost with a server waits for what peers have seen.
+    """
+    if now_s < row.not_before_s:
+        return True
+    if not row.fingerprint or world.suspects.is_proven(row.fingerprint):
+        return False
+    return world.suspects.running[row.fingerprint] > 0
+
+
+def note_start(world: World, row: RequestRow) -> None:
+    """Count a request as running."""
+    if row.fingerprint:
+        world.suspects.running[row.fingerprint] += 1
+
+
+def note_end(world: World, row: RequestRow) -> None:
+    """Count a request as no longer running."""
+    if not row.fingerprint:
+        return
+    world.suspects.running[row.fingerprint] -= 1
+    if world.suspects.running[row.fingerprint] <= 0:
+        del world.suspects.running[row.fingerprint]
+
+
 def _open_deaths(row: SuspectRow) -> list[str]:
     return [death for death in row.deaths if death not in row.cleared]
 
--- a/src/rhubarbspan/tables/suspects.py
+++ b/src/rhubarbspan/tables/suspects.py
@@ -1,7 +1,10 @@
 """The table of fingerprints that were in flight when backend servers died."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 
+N_PROVEN = 4096
+
 
 @dataclass(slots=True)
 class SuspectRow:
@@ -21,13 +24,20 @@
 
 
 class Suspects:
-    """Suspects by fingerprint, and the fingerprints present at each death."""
+    """Suspects by fingerprint, and the fingerprints present at each death.
+
+    Attributes:
+        victims: Fingerprints that were in flight at each death.
+        running: How many requests with a fingerprint run now.
+    """
 
-    __slots__ = ("_rows", "victims")
+    __slots__ = ("_rows", "victims", "running", "_proven")
 
     def __init__(self) -> None:
         self._rows: dict[str, SuspectRow] = {}
         self.victims: dict[str, set[str]] = {}
+        self.running: Counter[str] = Counter()
+        self._proven: dict[str, None] = {}
 
     def get(self, fingerprint: str) -> SuspectRow | None:
         """Return a row, or None."""
@@ -37,6 +47,17 @@
         """Return the row of a fingerprint, made when first asked for."""
         return self._rows.setdefault(fingerprint, SuspectRow(fingerprint))
 
+    def prove(self, fingerprint: str) -> None:
+        """Note that a request ran without harm."""
+        self._proven.pop(fingerprint, None)
+        self._proven[fingerprint] = None
+        if len(self._proven) > N_PROVEN:
+            del self._proven[next(iter(self._proven))]
+
+    def is_proven(self, fingerprint: str) -> bool:
+        """Tell whether a request lately ran without harm."""
+        return fingerprint in self._proven
+
     def remove(self, fingerprint: str) -> None:
         """Remove a row."""
         del self._rows[fingerprint]
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -95,6 +95,8 @@
         effects = run_tick(world, NOW_S, [settled])
     first = attempts(effects)[0]
     effects = run_tick(world, NOW_S + 0.1, [AttemptEnded(1, 1, outcome)])
+    # A request that was lost with a server waits a moment before it is sent again.
+    effects += run_tick(world, NOW_S + 0.25, [])
     assert [a.server_id != first.server_id for a in attempts(effects)] == [True] * (
         is_retried
     )
