Keep confirming orders while the store is down, by tickets

Cause: a claim needs the store, so with the store down each order is refused. Conclusion: kept beside claims; callers choose by the idempotency key they send. Also: servers are ejected only while half of a region's servers are left, and an instance that leaves alone keeps its servers, both found by the process tests.

--- a/src/rhubarbspan/edge/server.py
+++ b/src/rhubarbspan/edge/server.py
@@ -1,6 +1,7 @@
 """The HTTP server for callers: look-ups, requests, status and metrics."""
 
 import asyncio
+from dataclasses import dataclass
 
 import msgspec
 import xxhash
@@ -12,6 +13,8 @@
 from ..report.burn import summarise_history
 from ..report.metrics import render_metrics
 from ..report.status import describe_status
+from ..systems.ticketing import issue_tickets
+from ..tables.answers import TargetRow
 from ..verdict import Answered, MayHaveRun, NotRun, Reason
 from ..wire.http import (
     IDEMPOTENCY_HEADER,
@@ -27,9 +30,40 @@
 BUFFERED_BODY_BYTES = 65_536
 BODY_TIMEOUT_S = 10.0
 MAX_FIELD_BYTES = 16_384
+MAX_TICKETS = 20
 KEEPALIVE_S = 60.0
 
 
+@dataclass(slots=True)
+class LookupBody:
+    """The answer to a look-up.
+
+    Attributes:
+        targets: Instances to use, preferred ones first, with their weights.
+        lifetime_s: How long the caller may use the answer.
+        tickets: Idempotency keys that run on ``ticket_address`` only.
+    """
+
+    pool: str
+    region: str
+    lifetime_s: float
+    targets: list[TargetRow]
+    tickets: list[str]
+    ticket_address: str
+
+
+@dataclass(slots=True)
+class Received:
+    """A request whose head was read.
+
+    Attributes:
+        body: The whole body if it is short, otherwise None.
+    """
+
+    arrived: RequestArrived
+    body: bytes | None
+
+
 class CallerServer:
     """Answers callers."""
 
@@ -82,9 +116,21 @@
         answer = world.answers.answers.get((route.pool, region))
         if answer is None or not answer.targets:
             return _error(503, "no instance is known")
+        wanted = request.query.get("tickets", "0")
+        if not wanted.isdigit() or int(wanted) > MAX_TICKETS:
+            return _error(400, f"tickets: 0 to {MAX_TICKETS}")
+        tickets = issue_tickets(world, int(wanted)) if wanted != "0" else []
         world.count("lookups")
+        body = LookupBody(
+            answer.pool,
+            answer.region,
+            answer.lifetime_s,
+            answer.targets,
+            tickets,
+            world.identity.address,
+        )
         headers = {"Cache-Control": f"max-age={int(answer.lifetime_s)}"}
-        return _json(answer, headers)
+        return _json(body, headers)
 
     async def _status(self, request: web.Request) -> web.Response:
         return _json(describe_status(self._ticker.world, self._ticker.now_s()))
@@ -106,15 +152,15 @@
     async def _proxy(self, request: web.Request) -> web.StreamResponse:
         self._exchanges.n_requests += 1
         request_id = self._exchanges.n_requests
-        arrived = await self._receive(request, request_id)
-        if isinstance(arrived, NotRun):
-            return _refusal(AnswerCaller(request_id, arrived))
-        loop = asyncio.get_running_loop()
-        body = request["body"]
-        exchange = Exchange(request_id, request, body, loop.create_future())
+        received = await self._receive(request, request_id)
+        if isinstance(received, NotRun):
+            self._ticker.world.count("not_run", received.reason.value)
+            return _refusal(AnswerCaller(request_id, received))
+        closed = asyncio.get_running_loop().create_future()
+        exchange = Exchange(request_id, request, received.body, closed)
         self._exchanges.rows[request_id] = exchange
         try:
-            self._ticker.inputs.on_next(arrived)
+            self._ticker.inputs.on_next(received.arrived)
             decision = await exchange.closed
         except asyncio.CancelledError:
             exchange.is_caller_gone = True
@@ -124,7 +170,7 @@
 
     async def _receive(
         self, request: web.Request, request_id: int
-    ) -> RequestArrived | NotRun:
+    ) -> Received | NotRun:
         """Read the head of a request, and the body if it is short."""
         key = request.headers.get(IDEMPOTENCY_HEADER, "")
         timeout_s = read_timeout_s(request.headers)
@@ -140,9 +186,8 @@
                     body = await request.read()
             except (TimeoutError, ConnectionError, web.HTTPException):
                 return NotRun(Reason.BAD_REQUEST)
-        request["body"] = body
         head = f"{request.method} {request.raw_path} {length}\n".encode()
-        return RequestArrived(
+        arrived = RequestArrived(
             request_id,
             request.path,
             read_key_hash(request.headers),
@@ -152,6 +197,7 @@
             -1 if length is None else length,
             timeout_s,
         )
+        return Received(arrived, body)
 
     def answer(self, effect: AnswerCaller) -> None:
         """Carry out a final decision about a request."""
--- a/src/rhubarbspan/measure/__main__.py
+++ b/src/rhubarbspan/measure/__main__.py
@@ -20,11 +20,14 @@
 
 POLICIES = {
     "rhubarbspan": Policies(PooledShares(), OwnedSlots()),
+    "with tickets": Policies(PooledShares(), OwnedSlots(), has_tickets=True),
     "static shares": Policies(StaticShares(), OwnedSlots()),
     "uncoordinated": Policies(Uncoordinated(), OwnedSlots()),
     "random choice": Policies(PooledShares(), RandomChoice()),
 }
 
+OUTAGE_POLICIES = ("rhubarbspan", "with tickets", "static shares")
+
 
 def run(deployment: str, scenario: str) -> None:
     """Measure one scenario under all policies, and print JSON lines."""
@@ -33,7 +36,9 @@
     if isinstance(document, Failure):
         raise SystemExit(document.reason)
     for policy, policies in POLICIES.items():
-        if scenario == "store_down" and policy not in ("rhubarbspan", "static shares"):
+        if scenario == "store_down" and policy not in OUTAGE_POLICIES:
+            continue
+        if scenario != "store_down" and policies.has_tickets:
             continue
         figures = measure(deployment, document, scenario, policy, policies)
         sys.stdout.write(msgspec.json.encode(figures).decode() + "\n")
--- a/src/rhubarbspan/measure/oracle.py
+++ b/src/rhubarbspan/measure/oracle.py
@@ -37,7 +37,7 @@
     """Return by how many requests any interval exceeds rate times length plus burst.
 
     Example:
-        >>> over_admission(Limit(1.0, 2), [0.0, 0.0, 0.0])
+        >>> round(over_admission(Limit(1.0, 2), [0.0, 0.0, 0.0]), 3)
         1.0
     """
     level = limit.burst
--- a/src/rhubarbspan/measure/scenarios.py
+++ b/src/rhubarbspan/measure/scenarios.py
@@ -164,6 +164,7 @@
     fleet = start_fleet(document, SEED, place.n_servers, delay_s, policies)
     load = OUTAGE_LOAD if scenario == "store_down" else LOAD
     workload = Workload(place, configuration, random.Random(SEED), load)
+    workload.uses_tickets = policies.has_tickets
     if scenario == "noisy":
         noisy = list(configuration.client_accounts)[1]
         workload.factors[noisy] = NOISE
--- a/src/rhubarbspan/measure/workload.py
+++ b/src/rhubarbspan/measure/workload.py
@@ -9,6 +9,7 @@
 from ..document import Document
 from ..inputs import RequestArrived
 from ..standins.virtual_fleet import Fate, VirtualFleet
+from ..systems.ticketing import issue_tickets
 
 HOME_FRACTION = 0.8
 ORDER_FRACTION = 0.08
@@ -76,6 +77,7 @@
         load: Demand of each account as a fraction of its rate.
         factors: Further factors of the demand, by account.
         only_route: If set, all requests are for this route.
+        uses_tickets: Whether callers send orders under tickets of their instance.
     """
 
     place: Place
@@ -84,6 +86,7 @@
     load: float
     factors: dict[str, float] = field(default_factory=dict)
     only_route: str = ""
+    uses_tickets: bool = False
 
     def start(self, fleet: VirtualFleet, duration_s: float) -> None:
         """Schedule the arrivals of a duration."""
@@ -116,7 +119,11 @@
         )
 
         def send() -> None:
-            fleet.send(choose_live(fleet, seat), arrived, account.name, service_s)
+            live = choose_live(fleet, seat)
+            if is_once and self.uses_tickets:
+                tickets = issue_tickets(fleet.hosts[live].world, 1)
+                arrived.idempotency_key = tickets[0] if tickets else key
+            fleet.send(live, arrived, account.name, service_s)
 
         fleet.later(when_s, send)
 
--- a/src/rhubarbspan/policies.py
+++ b/src/rhubarbspan/policies.py
@@ -46,7 +46,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Policies:
-    """The policies of one instance."""
+    """The policies of one instance.
+
+    Attributes:
+        has_tickets: Whether the callers that are measured use tickets.
+    """
 
     limits: LimitPolicy = PooledShares()
     choice: ChoicePolicy = OwnedSlots()
+    has_tickets: bool = False
--- a/src/rhubarbspan/systems/claim_memory.py
+++ b/src/rhubarbspan/systems/claim_memory.py
@@ -6,6 +6,7 @@
 from ..tables.claims import ClaimState
 from ..tables.requests import RequestRow, RequestState
 from ..world import World
+from .ticketing import TicketUse, examine_ticket, free_ticket
 
 
 def claim_key(row: RequestRow) -> str:
@@ -25,8 +26,13 @@
     """Let a resend to this instance use the claim of a request that did not run."""
     if row.route.kind is not RouteKind.AT_MOST_ONCE:
         return
+    if row.state in (RequestState.ADMITTING, RequestState.ADMITTED):
+        return
+    if examine_ticket(world, row.arrived.idempotency_key) is TicketUse.USED:
+        free_ticket(world, row.arrived.idempotency_key)
+        return
     claim = world.claims.rows.get(claim_key(row))
-    if claim is None or row.state is RequestState.ADMITTING:
+    if claim is None:
         return
     if row.has_claim or claim.state is ClaimState.PENDING:
         claim.state = ClaimState.RELEASED
--- a/src/rhubarbspan/systems/claiming.py
+++ b/src/rhubarbspan/systems/claiming.py
@@ -10,6 +10,7 @@
 from .claim_memory import claim_key
 from .queueing import join_queue
 from .refusing import refuse
+from .ticketing import TicketUse, examine_ticket, use_ticket
 
 MEMORY_S = 900.0
 CLAIM_TIMEOUT_S = 2.0
@@ -29,6 +30,24 @@
 
 
 def _start_claim(world: World, now_s: float, row: RequestRow) -> Effects:
+    match examine_ticket(world, row.arrived.idempotency_key):
+        case TicketUse.RUN:
+            use_ticket(world, row.arrived.idempotency_key)
+            join_queue(world, now_s, row)
+            return []
+        case TicketUse.USED:
+            return refuse(world, now_s, row, MayHaveRun(Reason.DUPLICATE))
+        case TicketUse.GONE:
+            return refuse(world, now_s, row, MayHaveRun(Reason.TICKET_GONE))
+        case TicketUse.OTHER_INSTANCE:
+            return refuse(world, now_s, row, NotRun(Reason.OTHER_INSTANCE))
+        case TicketUse.FORGED:
+            return refuse(world, now_s, row, NotRun(Reason.BAD_REQUEST))
+        case TicketUse.NOT_A_TICKET:
+            return _claim_in_store(world, now_s, row)
+
+
+def _claim_in_store(world: World, now_s: float, row: RequestRow) -> Effects:
     world.claims.forget_before(now_s - MEMORY_S)
     key = claim_key(row)
     known = world.claims.rows.get(key)
--- a/src/rhubarbspan/systems/outcomes.py
+++ b/src/rhubarbspan/systems/outcomes.py
@@ -94,8 +94,9 @@
             late = MayHaveRun(Reason.DEADLINE)
             return effects + refuse(world, now_s, row, late)
         case Aborted():
-            cancelled = MayHaveRun(Reason.CANCELLED)
-            return effects + refuse(world, now_s, row, cancelled)
+            is_late = now_s >= row.deadline_s
+            reason = Reason.DEADLINE if is_late else Reason.CANCELLED
+            return effects + refuse(world, now_s, row, MayHaveRun(reason))
 
 
 def _free_slot(world: World, row: RequestRow) -> None:
@@ -132,7 +133,7 @@
     is_bad = server.failure_rate > EJECT_ABOVE_FAILURE_RATE
     if not is_bad or server.n_recent < N_ATTEMPTS_TO_EJECT:
         return []
-    if server.ejected_until_s > now_s:
+    if server.ejected_until_s > now_s or not _may_eject(world, now_s, server):
         return []
     pause_s = min(MAX_EJECTION_S, EJECTION_S * 2.0**server.n_ejections)
     server.n_ejections += 1
@@ -144,6 +145,13 @@
     return [LogChange(Level.WARNING, text)]
 
 
+def _may_eject(world: World, now_s: float, server: ServerRow) -> bool:
+    """Tell whether enough servers are left: bad ones are better than none."""
+    peers = world.servers.in_region(server.pool, server.region)
+    n_ejected = sum(row.ejected_until_s > now_s for row in peers)
+    return (n_ejected + 1) * 2 <= len(peers)
+
+
 def _retry_or(
     world: World, now_s: float, row: RequestRow, verdict: NotRun | MayHaveRun
 ) -> Effects:
--- a/src/rhubarbspan/systems/slots.py
+++ b/src/rhubarbspan/systems/slots.py
@@ -34,11 +34,12 @@
 
 def _seats_by_region(world: World) -> dict[str, list[str]]:
     seats: dict[str, list[str]] = {}
-    if world.departure is None:
+    staying = [peer for peer in world.peers.alive() if not peer.is_leaving]
+    # An instance that leaves hands its servers over, if there is anyone to take them.
+    if world.departure is None or not staying:
         seats[world.identity.region] = [world.identity.seat]
-    for peer in world.peers.alive():
-        if not peer.is_leaving:
-            seats.setdefault(peer.region, []).append(peer.seat)
+    for peer in staying:
+        seats.setdefault(peer.region, []).append(peer.seat)
     return {region: sorted(names) for region, names in seats.items()}
 
 
--- /dev/null
+++ b/src/rhubarbspan/systems/ticketing.py
@@ -0,0 +1,121 @@
+"""Tickets: idempotency keys that let a request run at most once without the store.
+
+A ticket names the seat and incarnation that handed it out. Only that incarnation runs
+a request under it, once, from memory; a replacement of the instance never does.
+"""
+
+import hashlib
+from dataclasses import dataclass
+from enum import Enum
+
+from ..world import World
+
+PREFIX = "rt1"
+SEPARATOR = "."
+N_FIELDS = 5
+PROOF_BYTES = 8
+N_TICKETS_KNOWN = 50_000
+
+
+class TicketUse(Enum):
+    """What may be done under an idempotency key."""
+
+    NOT_A_TICKET = "not-a-ticket"
+    RUN = "run"
+    USED = "used"
+    OTHER_INSTANCE = "other-instance"
+    GONE = "gone"
+    FORGED = "forged"
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """A ticket's fields."""
+
+    seat: str
+    incarnation: int
+    number: int
+    proof: str
+
+
+def issue_tickets(world: World, n_tickets: int) -> list[str]:
+    """Hand out tickets; an instance that leaves hands out none."""
+    if world.departure is not None:
+        return []
+    tickets = []
+    for _ in range(n_tickets):
+        world.tickets.n_issued += 1
+        tickets.append(_encode(world, world.tickets.n_issued))
+    _forget(world)
+    world.count("tickets_issued", "", n_tickets)
+    return tickets
+
+
+def examine_ticket(world: World, idempotency_key: str) -> TicketUse:
+    """Tell what an idempotency key allows on this instance."""
+    ticket = _decode(idempotency_key)
+    if ticket is None:
+        return TicketUse.NOT_A_TICKET
+    me = world.identity
+    if (ticket.seat, ticket.incarnation) != (me.seat, me.incarnation):
+        return _examine_foreign(world, ticket)
+    is_issued = 0 < ticket.number <= world.tickets.n_issued
+    if not is_issued or ticket.proof != _proof(world, ticket.number):
+        return TicketUse.FORGED
+    if ticket.number < world.tickets.forgotten_below:
+        return TicketUse.GONE
+    return TicketUse.USED if ticket.number in world.tickets.used else TicketUse.RUN
+
+
+def use_ticket(world: World, idempotency_key: str) -> None:
+    """Note that a request begins under a ticket."""
+    ticket = _decode(idempotency_key)
+    if ticket is not None:
+        world.tickets.used[ticket.number] = None
+
+
+def free_ticket(world: World, idempotency_key: str) -> None:
+    """Note that the request under a ticket certainly did not run."""
+    ticket = _decode(idempotency_key)
+    if ticket is not None and ticket.seat == world.identity.seat:
+        world.tickets.used.pop(ticket.number, None)
+
+
+def _examine_foreign(world: World, ticket: Ticket) -> TicketUse:
+    peer = world.peers.get(ticket.seat)
+    is_there = peer is not None and peer.is_alive
+    if is_there and peer is not None and peer.incarnation == ticket.incarnation:
+        return TicketUse.OTHER_INSTANCE
+    return TicketUse.GONE
+
+
+def _forget(world: World) -> None:
+    tickets = world.tickets
+    limit = tickets.n_issued - N_TICKETS_KNOWN
+    while tickets.forgotten_below <= limit:
+        tickets.used.pop(tickets.forgotten_below, None)
+        tickets.forgotten_below += 1
+
+
+def _encode(world: World, number: int) -> str:
+    me = world.identity
+    fields = (PREFIX, me.seat, str(me.incarnation), str(number), _proof(world, number))
+    return SEPARATOR.join(fields)
+
+
+def _decode(text: str) -> Ticket | None:
+    fields = text.split(SEPARATOR)
+    if len(fields) != N_FIELDS or fields[0] != PREFIX:
+        return None
+    _, seat, incarnation, number, proof = fields
+    if not (incarnation.isdigit() and number.isdigit()):
+        return None
+    return Ticket(seat, int(incarnation), int(number), proof)
+
+
+def _proof(world: World, number: int) -> str:
+    text = f"{world.identity.seat}/{world.identity.incarnation}/{number}"
+    digest = hashlib.blake2b(
+        text.encode(), key=world.tickets.secret, digest_size=PROOF_BYTES
+    )
+    return digest.hexdigest()
--- a/src/rhubarbspan/verdict.py
+++ b/src/rhubarbspan/verdict.py
@@ -18,6 +18,8 @@
     KEY_MISSING = "idempotency-key-missing"
     CLAIM_UNKNOWN = "claim-unknown"
     DUPLICATE = "duplicate"
+    OTHER_INSTANCE = "other-instance"
+    TICKET_GONE = "ticket-gone"
     CONNECT_FAILED = "connect-failed"
     CONNECTION_LOST = "connection-lost"
     TRUNCATED = "truncated-answer"
--- a/src/rhubarbspan/wire/http.py
+++ b/src/rhubarbspan/wire/http.py
@@ -39,8 +39,13 @@
     Reason.KEY_MISSING: 400,
     Reason.QUARANTINED: 422,
     Reason.CANCELLED: 499,
+    Reason.OTHER_INSTANCE: 421,
+}
+MAY_HAVE_RUN_STATUS = {
+    Reason.DEADLINE: 504,
+    Reason.DUPLICATE: 409,
+    Reason.TICKET_GONE: 409,
 }
-MAY_HAVE_RUN_STATUS = {Reason.DEADLINE: 504, Reason.DUPLICATE: 409}
 
 
 def hash_key(key: str) -> str:
--- a/src/rhubarbspan/world.py
+++ b/src/rhubarbspan/world.py
@@ -19,6 +19,9 @@
 from .tables.servers import ServerRow, Servers
 from .tables.slot_loans import SlotLoans
 from .tables.suspects import Suspects
+from .tables.tickets import Tickets
+
+SECRET_BYTES = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,6 +105,7 @@
     deadlines: Deadlines = field(default_factory=Deadlines)
     counters: Counter[tuple[str, str]] = field(default_factory=Counter)
     claims: Claims = field(default_factory=Claims)
+    tickets: Tickets = field(default_factory=lambda: Tickets(b""))
     slot_loans: SlotLoans = field(default_factory=SlotLoans)
     owned: dict[str, list[ServerRow]] = field(default_factory=dict)
     departure: Departure | None = None
@@ -127,6 +131,7 @@
     """Create a world with its periodic deadlines armed."""
     world = World(identity, now_s, policies, random.Random(seed))
     world.history.started_s = now_s
+    world.tickets.secret = world.rng.randbytes(SECRET_BYTES)
     world.deadlines.arm(now_s, Timer.HEARTBEAT, "")
     world.deadlines.arm(now_s, Timer.STEERING, "")
     return world
