Bring shifts and look-up plans to their stated behaviour

Cause: no shift ever moved a request, since nothing asked the holder for its tokens; and an instance that had not yet heard of a region sent its callers away, then took 20 s to come back. Change: requests that a shift may move count as demand and tokens are kept at hand; a region without reports is held for 5 s before it counts as lost; the way back to local is 0.25 a second, the way out stays 0.05.

--- a/Makefile
+++ b/Makefile
@@ -20,18 +20,22 @@
 	cd src && ../$(VENV)/bin/python -m mypy --config-file ../pyproject.toml rhubarbspan
 
 test: check
-	$(RUN) -m pytest -n 4 --dist loadfile
+	$(RUN) -m pytest -n 7 --dist loadgroup
 
 clean:
 	rm -rf $(VENV) build dist
 
 SCENARIOS := steady noisy killed region_lost store_down region_cut shift drain
-MEASURED := $(foreach d,parrilla tamarind,$(foreach s,$(SCENARIOS),build/measure/$d-$s.json))
+MEASURED := $(foreach d,parrilla tamarind,$(foreach s,choice $(SCENARIOS),build/measure/$d-$s.json))
 
 build/measure/%.json: setup
 	@mkdir -p $(@D)
 	@$(RUN) -m rhubarbspan.measure run $(subst -, ,$*) > $@
 
+build/measure/%-choice.json: setup
+	@mkdir -p $(@D)
+	@$(RUN) -m rhubarbspan.measure choice $* > $@
+
 measure:
 	@rm -rf build/measure
 	@$(MAKE) --no-print-directory -j 6 $(MEASURED)
--- a/src/rhubarbspan/measure/__main__.py
+++ b/src/rhubarbspan/measure/__main__.py
@@ -1,21 +1,25 @@
-"""Runs measurements: ``run DEPLOYMENT SCENARIO`` or ``table FILE...``."""
+"""Runs measurements: run DEPLOYMENT SCENARIO, choice DEPLOYMENT, table FILE..."""
 
 import sys
 from pathlib import Path
 
 import msgspec
 
+from ..document import Document
 from ..policies import (
+    LeastInFlight,
     OwnedSlots,
     Policies,
     PooledShares,
     RandomChoice,
     StaticShares,
+    TwoChoices,
     Uncoordinated,
 )
 from ..report.text import format_table
 from ..verdict import Failure
 from ..wire.ini import read_document
+from .choice import ChoiceFigures, measure_choice
 from .scenarios import PER_CENT, SCENARIOS, Figures, measure
 
 POLICIES = {
@@ -26,15 +30,26 @@
     "random choice": Policies(PooledShares(), RandomChoice()),
 }
 
+CHOICES = {
+    "rhubarbspan": Policies(choice=OwnedSlots()),
+    "random choice": Policies(choice=RandomChoice()),
+    "two choices": Policies(choice=TwoChoices()),
+    "least in flight": Policies(choice=LeastInFlight()),
+}
 OUTAGE_POLICIES = ("rhubarbspan", "with tickets", "static shares")
 
 
-def run(deployment: str, scenario: str) -> None:
-    """Measure one scenario under all policies, and print JSON lines."""
+def _load(deployment: str) -> Document:
     path = Path("examples") / f"{deployment}.ini"
     document = read_document(path.read_text(encoding="utf-8"), str(path))
     if isinstance(document, Failure):
         raise SystemExit(document.reason)
+    return document
+
+
+def run(deployment: str, scenario: str) -> None:
+    """Measure one scenario under all policies, and print JSON lines."""
+    document = _load(deployment)
     for policy, policies in POLICIES.items():
         if scenario == "store_down" and policy not in OUTAGE_POLICIES:
             continue
@@ -44,6 +59,14 @@
         sys.stdout.write(msgspec.json.encode(figures).decode() + "\n")
 
 
+def choose(deployment: str) -> None:
+    """Measure the choice of servers under all policies, and print JSON lines."""
+    document = _load(deployment)
+    for policy, policies in CHOICES.items():
+        figures = measure_choice(deployment, document, policy, policies)
+        sys.stdout.write(msgspec.json.encode(figures).decode() + "\n")
+
+
 def table(files: list[str]) -> None:
     """Print the figures of several runs as one table for each deployment."""
     for deployment in ("parrilla", "tamarind"):
@@ -59,6 +82,7 @@
             "requests",
             "added p50 ms",
             "added p99 ms",
+            "quiet p99 ms",
             "headroom %",
             "worst served %",
             "refused inside %",
@@ -69,6 +93,27 @@
             "run twice",
         ]
         sys.stdout.write(f"\n{deployment}\n\n{format_table(header, rows)}\n")
+        _print_choice(deployment, files)
+
+
+def _print_choice(deployment: str, files: list[str]) -> None:
+    rows = []
+    for name in files:
+        if Path(name).stem == f"{deployment}-choice":
+            for line in Path(name).read_text(encoding="utf-8").splitlines():
+                figures = msgspec.json.decode(line, type=ChoiceFigures)
+                rows.append(
+                    [
+                        f"{figures.policy}, 80% of slots",
+                        str(figures.n_requests),
+                        str(figures.n_refused),
+                        f"{figures.p99_s * 1e3:.0f}",
+                        f"{figures.ideal_p99_s * 1e3:.0f}",
+                        f"{figures.ratio:.2f}",
+                    ]
+                )
+    header = ["server choice", "requests", "refused", "p99 ms", "ideal ms", "ratio"]
+    sys.stdout.write(f"\n{format_table(header, rows)}\n")
 
 
 def _format(figures: Figures) -> list[str]:
@@ -77,6 +122,7 @@
         str(figures.n_requests),
         f"{figures.added_p50_ms:.1f}",
         f"{figures.added_p99_ms:.1f}",
+        f"{figures.quiet_p99_ms:.0f}",
         f"{figures.headroom * PER_CENT:.0f}",
         f"{figures.worst_served * PER_CENT:.2f}",
         f"{figures.refused_inside * PER_CENT:.3f}",
@@ -92,6 +138,8 @@
     match sys.argv[1:]:
         case ["run", deployment, scenario]:
             run(deployment, scenario)
+        case ["choice", deployment]:
+            choose(deployment)
         case ["table", *files]:
             table(files)
         case _:
--- /dev/null
+++ b/src/rhubarbspan/measure/choice.py
@@ -0,0 +1,109 @@
+"""Compares the choice of servers with one ideal queue before all of them."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..checking import check_document
+from ..configuration import Configuration
+from ..document import Document
+from ..inputs import RequestArrived
+from ..policies import Policies
+from ..standins.virtual_fleet import VirtualFleet, start_fleet
+from ..verdict import Answered
+from .oracle import central_queue, quantile
+from .workload import PLACES, delays
+
+DURATION_S = 20.0
+DRAIN_S = 10.0
+UTILISATION = 0.8
+SEED = 1
+PATH = "/measured"
+P99 = 0.99
+
+
+@dataclass(slots=True)
+class Job:
+    """A request that holds a slot for a time."""
+
+    arrived_s: float
+    service_s: float
+    seat: str
+
+
+@dataclass(slots=True)
+class ChoiceFigures:
+    """Times from arrival to answer, beside those of the ideal queue."""
+
+    deployment: str
+    policy: str
+    n_requests: int
+    n_refused: int
+    p99_s: float
+    ideal_p99_s: float
+
+    @property
+    def ratio(self) -> float:
+        """Return how much longer the slowest hundredth takes than ideally."""
+        return self.p99_s / self.ideal_p99_s
+
+
+def measure_choice(
+    name: str, document: Document, policy: str, policies: Policies
+) -> ChoiceFigures:
+    """Load the first pool to 80% of its slots, evenly over the regions."""
+    place = PLACES[name]
+    configuration, _ = check_document(document)
+    pool = next(iter(configuration.pools.values()))
+    route = {
+        "pool": pool.name,
+        "path_prefix": PATH,
+        "kind": "idempotent",
+        "open": "yes",
+    }
+    document = {**document, "route measured": route}
+    delay_s = delays(place, document)
+    fleet = start_fleet(document, SEED, place.n_servers, delay_s, policies)
+    n_slots = place.n_servers[pool.name] * pool.n_slots_per_server
+    jobs = _draw_jobs(configuration, n_slots, place.service_s[pool.name])
+    for job in jobs:
+        fleet.later(job.arrived_s, _sender(fleet, job))
+    fleet.run_for(DURATION_S + DRAIN_S)
+    times = [
+        fate.ended_s - fate.arrived_s
+        for fate in fleet.fates
+        if isinstance(fate.verdict, Answered)
+    ]
+    ideal = central_queue(n_slots, [(job.arrived_s, job.service_s) for job in jobs])
+    return ChoiceFigures(
+        name,
+        policy,
+        len(jobs),
+        len(jobs) - len(times),
+        quantile(times, P99),
+        quantile(ideal, P99),
+    )
+
+
+def _draw_jobs(configuration: Configuration, n_slots: int, mean_s: float) -> list[Job]:
+    rng = random.Random(SEED)
+    seats_by_region: dict[str, list[str]] = {}
+    for seat in configuration.seats():
+        region = configuration.region_of(seat.rpartition("-")[0])
+        seats_by_region.setdefault(region, []).append(seat)
+    regions = list(seats_by_region)
+    rate_per_s = UTILISATION * n_slots / mean_s
+    jobs: list[Job] = []
+    when_s = rng.expovariate(rate_per_s)
+    while when_s < DURATION_S:
+        seat = rng.choice(seats_by_region[rng.choice(regions)])
+        jobs.append(Job(when_s, rng.expovariate(1.0 / mean_s), seat))
+        when_s += rng.expovariate(rate_per_s)
+    return jobs
+
+
+def _sender(fleet: VirtualFleet, job: Job) -> Callable[[], None]:
+    def send() -> None:
+        fleet.send(job.seat, RequestArrived(0, PATH), "", job.service_s)
+
+    return send
--- a/src/rhubarbspan/measure/scenarios.py
+++ b/src/rhubarbspan/measure/scenarios.py
@@ -34,6 +34,7 @@
     Attributes:
         added_p50_ms: Median time beside the service time itself, of the answers to
             accounts inside their rate.
+        quiet_p99_ms: Time from arrival to answer of accounts inside their rate.
         headroom: Part of the slots that stay free in the fullest region, in 99% of
             the samples.
         worst_served: Share answered of what a central bucket admits, for the
@@ -48,6 +49,7 @@
     n_requests: int
     added_p50_ms: float
     added_p99_ms: float
+    quiet_p99_ms: float
     headroom: float
     worst_served: float
     refused_inside: float
@@ -197,6 +199,11 @@
         for fate in fates
         if isinstance(fate.verdict, Answered) and _is_quiet(run, fate.account)
     ]
+    quiet = [
+        (fate.ended_s - fate.arrived_s) * MS_PER_S
+        for fate in fates
+        if isinstance(fate.verdict, Answered) and _is_quiet(run, fate.account)
+    ]
     served, n_inside, n_central, excess = _limits(run)
     drain_s = -1.0
     if run.drained:
@@ -208,6 +215,7 @@
         len(fates),
         quantile(added, 0.5),
         quantile(added, 0.99),
+        quantile(quiet, 0.99),
         quantile(run.free_parts, 0.01),
         min(served) if served else 0.0,
         n_inside / max(1, n_central),
--- a/src/rhubarbspan/systems/admission.py
+++ b/src/rhubarbspan/systems/admission.py
@@ -19,7 +19,7 @@
     spend_token,
 )
 from .refusing import refuse
-from .sharing import live_holder
+from .sharing import SHIFT_PREFIX, live_holder
 
 MAX_WAIT_S = 0.5
 ASK_TIMEOUT_S = 0.45
@@ -201,11 +201,18 @@
 
 
 def _prefetch(world: World, now_s: float, bucket: BucketRow) -> int:
+    demand_per_s = smoothed_demand_per_s(bucket, now_s)
     account = world.configuration.client_accounts.get(bucket.account)
-    if account is None or account.rate_per_s < PREFETCH_MIN_RATE_PER_S:
+    if account is not None:
+        if account.rate_per_s < PREFETCH_MIN_RATE_PER_S:
+            return 0
+        return int(min(demand_per_s, account.rate_per_s) * PREFETCH_S)
+    # Requests never wait for a shift's tokens, so some must be at hand.
+    name = bucket.account.removeprefix(SHIFT_PREFIX)
+    shift = world.configuration.shifts.get(name)
+    if shift is None or demand_per_s < 1:
         return 0
-    demand_per_s = min(smoothed_demand_per_s(bucket, now_s), account.rate_per_s)
-    return int(demand_per_s * PREFETCH_S)
+    return max(1, int(min(demand_per_s, shift.cap_requests_per_s) * PREFETCH_S))
 
 
 def _return_surplus(bucket: BucketRow, now_s: float, n_prefetch: int) -> None:
--- a/src/rhubarbspan/systems/shifting.py
+++ b/src/rhubarbspan/systems/shifting.py
@@ -2,7 +2,7 @@
 
 from ..tables.requests import RequestRow
 from ..world import World
-from .bucketing import mint, spend_token
+from .bucketing import mint, note_arrivals, spend_token
 from .sharing import SHIFT_PREFIX
 
 NO_SHIFT = "-"
@@ -27,6 +27,8 @@
         bucket = world.buckets.get(SHIFT_PREFIX + shift.name)
         if bucket is None:
             continue
+        note_arrivals(bucket, now_s, 1)
+        world.thirsty[bucket.account] = None
         mint(bucket, now_s)
         if spend_token(bucket, now_s):
             world.count("shifted", shift.name)
--- a/src/rhubarbspan/systems/steering.py
+++ b/src/rhubarbspan/systems/steering.py
@@ -12,7 +12,9 @@
 ANSWER_LIFETIME_S = 3.0
 TARGET_UTILISATION = 0.85
 RAMP_PER_S = 0.05
+RETURN_RAMP_PER_S = 0.25
 MIN_WEIGHT = 0.001
+EMPTY_GRACE_S = 5.0
 PERIODIC = ""
 
 
@@ -95,23 +97,39 @@
 ) -> PlanRow:
     """Move the region's fractions a step towards what the loads ask for."""
     known = world.answers.plans.get((pool.name, region))
+    empty_since_s = _empty_since_s(known, now_s, room[region][1])
+    is_gone = region not in seats
+    if empty_since_s is not None and not is_gone:
+        if now_s - empty_since_s < EMPTY_GRACE_S:
+            # No report yet, or no report just now: hold, or begin locally.
+            held = known.fractions if known else {region: 1.0}
+            return PlanRow(pool.name, region, held, now_s, empty_since_s)
+        is_gone = True
     targets = _target_fractions(region, room, seats)
-    is_dead = region not in seats or room[region][1] <= 0
-    if known is None or is_dead:
-        return PlanRow(pool.name, region, targets, now_s)
-    step = RAMP_PER_S * min(STEERING_INTERVAL_S, now_s - known.planned_s)
+    if known is None or is_gone:
+        return PlanRow(pool.name, region, targets, now_s, empty_since_s)
+    age_s = min(STEERING_INTERVAL_S, now_s - known.planned_s)
     fractions: dict[str, float] = {}
     for other in targets.keys() | known.fractions.keys():
         if other == region or other not in seats:
             continue
         old = known.fractions.get(other, 0.0)
-        change = max(-step, min(step, targets.get(other, 0.0) - old))
+        wanted = targets.get(other, 0.0) - old
+        change = max(-RETURN_RAMP_PER_S * age_s, min(RAMP_PER_S * age_s, wanted))
         if old + change > MIN_WEIGHT:
             fractions[other] = old + change
     fractions[region] = max(0.0, 1.0 - sum(fractions.values()))
     return PlanRow(pool.name, region, fractions, now_s)
 
 
+def _empty_since_s(known: PlanRow | None, now_s: float, n_slots: float) -> float | None:
+    if n_slots > 0:
+        return None
+    if known is None or known.empty_since_s is None:
+        return now_s
+    return known.empty_since_s
+
+
 def _target_fractions(
     region: str,
     room: dict[str, tuple[float, float]],
--- a/src/rhubarbspan/tables/answers.py
+++ b/src/rhubarbspan/tables/answers.py
@@ -29,12 +29,17 @@
 
 @dataclass(slots=True)
 class PlanRow:
-    """Shares of a region's requests for a pool that each region serves."""
+    """Shares of a region's requests for a pool that each region serves.
+
+    Attributes:
+        empty_since_s: Since when the region shows no usable slot, or None.
+    """
 
     pool: str
     region: str
     fractions: dict[str, float]
     planned_s: float
+    empty_since_s: float | None = None
 
 
 @dataclass(slots=True)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -23,6 +23,8 @@
 from rhubarbspan.verdict import Failure
 from rhubarbspan.wire.http import hash_key
 
+pytestmark = pytest.mark.xdist_group("edge")
+
 T = TypeVar("T")
 KEY = "secret-ana"
 OTHER_KEY = "secret-bo"
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -16,6 +16,8 @@
 
 from rhubarbspan.standins.deployment import free_address
 
+pytestmark = pytest.mark.xdist_group("process")
+
 ROOT = Path(__file__).parent.parent
 CONFIGURATION = ROOT / "examples" / "parrilla.ini"
 KEY = "example-key-ferreteria-temuco"
