--- a/src/rhubarbspan/systems/lending.py
+++ b/src/rhubarbspan/systems/lending.py
@@ -162,7 +162,7 @@
     """Give back the borrowed slots of a pool that no request holds."""
     idle: dict[tuple[str, int], list[int]] = {}
     for key, slot in list(world.slot_loans.borrowed.items()):
-        if slot.pool != pool or slot.request_id:
+        if slot.pool != pool or slot.request_id is not None:
             continue
         del world.slot_loans.borrowed[key]
         owner = (slot.owner, slot.owner_incarnation)
--- a/src/rhubarbspan/systems/outcomes.py
+++ b/src/rhubarbspan/systems/outcomes.py
@@ -107,7 +107,7 @@
     if row.slot_key is not None:
         slot = world.slot_loans.borrowed.get(row.slot_key)
         if slot is not None:
-            slot.request_id = 0
+            slot.request_id = None
         row.slot_key = None
     world.queues.dirty.add(row.route.pool)
 
--- a/src/rhubarbspan/tables/slot_loans.py
+++ b/src/rhubarbspan/tables/slot_loans.py
@@ -19,7 +19,7 @@
     """A slot of another instance's server.
 
     Attributes:
-        request_id: The request that holds the slot, or 0.
+        request_id: The request that holds the slot, or None.
     """
 
     loan_id: int
@@ -30,7 +30,7 @@
     pool: str
     region: str
     until_s: float
-    request_id: int = 0
+    request_id: int | None = None
 
 
 @dataclass(slots=True)
