--- a/Makefile
+++ b/Makefile
@@ -33,8 +33,8 @@
 clean:
 	rm -rf $(VENV) build dist
 
-SCENARIOS := steady noisy killed region_lost store_down region_cut shift drain
-MEASURED := $(foreach d,parrilla tamarind,$(foreach s,choice $(SCENARIOS),build/measure/$d-$s.json))
+SCENARIOS := steady noisy killed region_lost region_gone store_down region_cut shift drain
+MEASURED := $(foreach s,store_down shift $(filter-out store_down shift,$(SCENARIOS)) choice,$(foreach d,parrilla tamarind,build/measure/$d-$s.json))
 
 build/measure/%.json: setup
 	@mkdir -p $(@D)
--- a/src/rhubarbspan/checking.py
+++ b/src/rhubarbspan/checking.py
@@ -83,6 +83,7 @@
     "data_centre": (
         Option("region", "a name", None),
         Option("seats", "0 to 1000", "1"),
+        Option("gone", "yes or no", "no"),
         Option("client_blocks", "IP networks separated by commas", ""),
     ),
     "link": (
@@ -241,8 +242,10 @@
         return
     for name, reader in readers["data_centre"].items():
         blocks = reader.items("client_blocks")
+        is_gone = reader.flag("gone")
+        n_seats = reader.integer("seats", 0, 1000)
         place = DataCentre(
-            name, reader.text("region"), reader.integer("seats", 0, 1000), blocks
+            name, reader.text("region"), 0 if is_gone else n_seats, blocks, is_gone
         )
         configuration.data_centres[name] = place
         for text in blocks:
--- a/src/rhubarbspan/configuration.py
+++ b/src/rhubarbspan/configuration.py
@@ -61,12 +61,17 @@
 
 @dataclass(frozen=True, slots=True)
 class DataCentre:
-    """A place with entry instances and backend servers of its own."""
+    """A place with entry instances and backend servers of its own.
+
+    Attributes:
+        is_gone: Whether an operator vouches that no instance runs there.
+    """
 
     name: str
     region: str
     n_seats: int
     client_blocks: tuple[str, ...]
+    is_gone: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/rhubarbspan/measure/scenarios.py
+++ b/src/rhubarbspan/measure/scenarios.py
@@ -19,6 +19,7 @@
 SETTLE_S = 12.0
 AFTER_DEATH_S = 60.0
 SAMPLE_S = 0.25
+OPERATOR_S = 5.0
 OUTAGE_S = 600.0
 OUTAGE_LOAD = 0.12
 NOISE = 5.0
@@ -100,6 +101,17 @@
             run.fleet.servers.kill(server)
 
 
+def _lose_region_for_good(run: Run) -> None:
+    """Lose a region; the operator says so five seconds later."""
+    _lose_region(run)
+    region = run.workload.configuration.regions()[1]
+    document = {
+        title: {**body, "gone": "yes"} if body.get("region") == region else body
+        for title, body in run.fleet.document.items()
+    }
+    run.fleet.later(OPERATOR_S, lambda: run.fleet.change(document))
+
+
 def _stop_store(run: Run) -> None:
     run.fleet.is_store_up = False
 
@@ -136,6 +148,7 @@
     "noisy": _nothing,
     "killed": _kill_instance,
     "region_lost": _lose_region,
+    "region_gone": _lose_region_for_good,
     "store_down": _stop_store,
     "region_cut": _cut_region,
     "shift": _shift,
--- a/src/rhubarbspan/systems/sharing.py
+++ b/src/rhubarbspan/systems/sharing.py
@@ -163,7 +163,10 @@
     if revision <= world.confirmed_seats_revision:
         return
     for seat in {*world.known_seats, *world.configuration.seats()}:
-        if seat != world.identity.seat:
+        place = world.configuration.data_centres.get(seat.rpartition("-")[0])
+        if seat == world.identity.seat or (place is not None and place.is_gone):
+            world.unconfirmed_seats.pop(seat, None)
+        else:
             world.unconfirmed_seats[seat] = revision
     world.is_first_seats = not world.known_seats
     world.known_seats = world.configuration.seats()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -41,6 +41,24 @@
 @pytest.fixture
 def single() -> Document:
     """Return a configuration with one seat, one pool and three routes."""
+    return single_document()
+
+
+@pytest.fixture
+def make_world() -> MakeWorld:
+    """Return a function that makes a world with a configuration and servers."""
+    return build_world
+
+
+def _listings(pool: str, place: str, n_servers: int) -> list[ServerListing]:
+    return [
+        ServerListing(f"{pool}-{number}", pool, f"127.0.0.1:{100 + number}", place)
+        for number in range(n_servers)
+    ]
+
+
+def single_document() -> Document:
+    """Make a configuration with one seat, one pool and three routes."""
     common = {"pool": "shop", "timeout_s": "5"}
     return {
         "route look": {**common, "path_prefix": "/look", "kind": "idempotent"},
@@ -61,37 +79,24 @@
     }
 
 
-@pytest.fixture
-def make_world() -> MakeWorld:
-    """Return a function that makes a world with a configuration and servers."""
-
-    def make(
-        document: Document,
-        n_servers: int = 1,
-        seat: str = "x-1",
-        policies: Policies | None = None,
-    ) -> World:
-        place = seat.rpartition("-")[0]
-        region = document[f"data_centre {place}"]["region"]
-        identity = Identity(seat, place, region, 1, "127.0.0.1:1", "127.0.0.1:2")
-        world = create_world(identity, START_S, policies or Policies(), 1)
-        snapshot = Snapshot(1, document, 1)
-        inputs: list[Input] = [ConfigurationOffered(snapshot, [], True)]
-        for title in document:
-            kind, _, pool = title.partition(" ")
-            if kind == "pool":
-                inputs.append(ServersListed(pool, _listings(pool, place, n_servers)))
-        run_tick(world, START_S, inputs)
-        # Past the time for which a new instance must not mint its own shares.
-        for number in range(1, 13):
-            run_tick(world, START_S + number * 0.5, [])
-        return world
-
-    return make
-
-
-def _listings(pool: str, place: str, n_servers: int) -> list[ServerListing]:
-    return [
-        ServerListing(f"{pool}-{number}", pool, f"127.0.0.1:{100 + number}", place)
-        for number in range(n_servers)
-    ]
+def build_world(
+    document: Document,
+    n_servers: int = 1,
+    seat: str = "x-1",
+    policies: Policies | None = None,
+) -> World:
+    """Make a world with a configuration and servers that mints its own shares."""
+    place = seat.rpartition("-")[0]
+    region = document[f"data_centre {place}"]["region"]
+    identity = Identity(seat, place, region, 1, "127.0.0.1:1", "127.0.0.1:2")
+    world = create_world(identity, START_S, policies or Policies(), 1)
+    snapshot = Snapshot(1, document, 1)
+    inputs: list[Input] = [ConfigurationOffered(snapshot, [], True)]
+    for title in document:
+        kind, _, pool = title.partition(" ")
+        if kind == "pool":
+            inputs.append(ServersListed(pool, _listings(pool, place, n_servers)))
+    run_tick(world, START_S, inputs)
+    for number in range(1, 13):
+        run_tick(world, START_S + number * 0.5, [])
+    return world
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -412,7 +412,9 @@
                 while daemon.world.configuration.revision == 0:
                     await asyncio.sleep(0.02)
             revision = await edit(site, GrantKey("bo", hash_key("late")))
-            await asyncio.sleep(0.05)
+            async with asyncio.timeout(6.0):
+                while first.world.configuration.revision < revision:
+                    await asyncio.sleep(0.005)
             site.deployment.store.faults.is_down = True
             async with asyncio.timeout(6.0):
                 while daemon.world.configuration.revision < revision:
