--- a/src/rhubarbspan/measure/capacity.py
+++ b/src/rhubarbspan/measure/capacity.py
@@ -31,7 +31,7 @@
 from ..wire.peer import decode_message, encode_message
 from ..world import Identity, World, create_world
 
-N_REPEATS = 5
+N_REPEATS = 9
 MICROSECONDS = 1e6
 NOW_S = 1000.0
 SEED = 4
--- a/src/rhubarbspan/measure/proxy.py
+++ b/src/rhubarbspan/measure/proxy.py
@@ -21,6 +21,7 @@
 KEY = "measured"
 HEADERS = {"Authorization": f"Bearer {KEY}"}
 IDLE_S = 5.0
+FLEET_SIZES = (1, 4, 7, 12)
 MS_PER_S = 1000.0
 
 DOCUMENT = {
@@ -45,6 +46,15 @@
     cpu_ms: float
 
 
+@dataclass(slots=True)
+class IdleCost:
+    """What each of some idle daemons costs, control messages and probes included."""
+
+    n_seats: int
+    cpu_ms_per_s: float
+    bytes_per_s: float
+
+
 async def measure_url(name: str, session: aiohttp.ClientSession, url: str) -> Cost:
     """Send requests one after another."""
     for _ in range(N_WARM_UP):
@@ -119,6 +129,33 @@
     return costs
 
 
+async def measure_idle(n_seats: int) -> IdleCost:
+    """Run some daemons of one data centre without load."""
+    place = {**DOCUMENT["data_centre x"], "seats": str(n_seats)}
+    deployment = Deployment({**DOCUMENT, "data_centre x": place})
+    await deployment.start()
+    await deployment.wait_ready()
+    await asyncio.sleep(1.0)
+    n_bytes = _bytes_sent(deployment)
+    cpu_s = time.process_time()
+    await asyncio.sleep(IDLE_S)
+    cpu_ms = (time.process_time() - cpu_s) * MS_PER_S
+    n_bytes = _bytes_sent(deployment) - n_bytes
+    await deployment.stop()
+    per_daemon = n_seats * IDLE_S
+    return IdleCost(n_seats, cpu_ms / per_daemon, n_bytes / per_daemon)
+
+
+def _bytes_sent(deployment: Deployment) -> int:
+    worlds = [daemon.world for daemon in deployment.daemons.values()]
+    return sum(world.counters["peer_bytes_sent", ""] for world in worlds)
+
+
+async def measure_fleets() -> list[IdleCost]:
+    """Measure idle fleets of some sizes."""
+    return [await measure_idle(n_seats) for n_seats in FLEET_SIZES]
+
+
 def main() -> None:
     """Print the table."""
     with logbook.NullHandler().applicationbound():
@@ -128,6 +165,14 @@
         [cost.name, f"{cost.p50_ms:.2f}", f"{cost.p99_ms:.2f}", f"{cost.cpu_ms:.2f}"]
         for cost in costs
     ]
+    sys.stdout.write(format_table(header, rows) + "\n\n")
+    with logbook.NullHandler().applicationbound():
+        fleets = asyncio.run(measure_fleets())
+    header = ["idle daemons", "CPU ms/s each", "bytes/s sent each"]
+    rows = [
+        [str(cost.n_seats), f"{cost.cpu_ms_per_s:.1f}", f"{cost.bytes_per_s:.0f}"]
+        for cost in fleets
+    ]
     sys.stdout.write(format_table(header, rows) + "\n")
 
 
