Treat shed requests as news of the server, not as failures

Cause: with another system on the same servers, requests found full servers, and each repeat took from the retry budget until it was empty; nothing was learned from it. Change: a shed request raises the estimate of what others use, also at the owner of a borrowed slot; it waits for another slot outside the budget; reports weigh 0.6, not 0.3.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 clean:
 	rm -rf $(VENV) build dist
 
-SCENARIOS := steady noisy killed region_lost region_gone store_down region_cut shift drain
+SCENARIOS := steady noisy killed region_lost region_gone store_down region_cut shift drain old_system
 MEASURED := $(foreach s,store_down shift $(filter-out store_down shift,$(SCENARIOS)) choice,$(foreach d,parrilla tamarind,build/measure/$d-$s.json))
 
 build/measure/%.json: setup
--- a/src/rhubarbspan/measure/scenarios.py
+++ b/src/rhubarbspan/measure/scenarios.py
@@ -20,6 +20,7 @@
 AFTER_DEATH_S = 60.0
 SAMPLE_S = 0.25
 OPERATOR_S = 5.0
+OLD_SYSTEM_S = 0.2
 OUTAGE_S = 600.0
 OUTAGE_LOAD = 0.12
 NOISE = 5.0
@@ -137,6 +138,15 @@
     run.drain_started_s = run.fleet.now_s
 
 
+def _old_system(run: Run) -> None:
+    """Let another system use up to half of each server's slots, on and off."""
+    for server in run.fleet.servers.rows.values():
+        step = run.workload.rng.choice((-1, 0, 1))
+        most = server.n_slots // 2
+        server.n_foreign = max(0, min(most, server.n_foreign + step))
+    run.fleet.later(OLD_SYSTEM_S, lambda: _old_system(run))
+
+
 def _edit(run: Run, edit: StartDrain | StartShift) -> None:
     document = apply_edit(run.fleet.document, edit)
     assert not isinstance(document, Failure)
@@ -153,6 +163,7 @@
     "region_cut": _cut_region,
     "shift": _shift,
     "drain": _drain,
+    "old_system": _old_system,
 }
 
 
--- a/src/rhubarbspan/peer_messages.py
+++ b/src/rhubarbspan/peer_messages.py
@@ -267,12 +267,17 @@
 
 @dataclass(slots=True)
 class SlotReturn:
-    """The borrower gives slots back."""
+    """The borrower gives slots back.
+
+    Attributes:
+        shed_loan_ids: Those of them whose server shed the request.
+    """
 
     seat: str
     incarnation: int
     owner_incarnation: int
     loan_ids: list[int]
+    shed_loan_ids: list[int] = field(default_factory=list)
 
 
 PeerMessage = (
--- a/src/rhubarbspan/systems/dispatch.py
+++ b/src/rhubarbspan/systems/dispatch.py
@@ -144,7 +144,10 @@
     return [
         slot
         for slot in world.slot_loans.borrowed.values()
-        if slot.pool == pool.name and slot.request_id is None and slot.until_s > now_s
+        if slot.pool == pool.name
+        and slot.request_id is None
+        and not slot.was_shed
+        and slot.until_s > now_s
     ]
 
 
--- a/src/rhubarbspan/systems/health.py
+++ b/src/rhubarbspan/systems/health.py
@@ -16,7 +16,7 @@
 from .slots import N_PROBES_TO_FAIL, assign_servers
 
 N_LISTINGS_TO_RETURN = 3
-FOREIGN_SMOOTHING = 0.3
+FOREIGN_SMOOTHING = 0.6
 START_GRACE_S = 5.0
 
 
--- a/src/rhubarbspan/systems/lending.py
+++ b/src/rhubarbspan/systems/lending.py
@@ -13,7 +13,7 @@
 from ..tables.slot_loans import BorrowedSlotRow, LentSlotRow, SlotAskRow
 from ..world import World
 from .bucketing import lender_term_s
-from .slots import n_free_slots, n_usable_slots, owned_servers
+from .slots import n_free_slots, n_usable_slots, note_shed, owned_servers
 
 SLOT_TERM_S = 5.0
 START_WITHIN_S = 2.0
@@ -33,7 +33,7 @@
             case SlotGrant() as grant:
                 effects += _take(world, now_s, grant)
             case SlotReturn() as returned:
-                _take_back(world, returned)
+                _take_back(world, now_s, returned)
     if inbox.due(Timer.HEARTBEAT):
         _drop_lapsed(world, now_s)
     return effects
@@ -115,13 +115,17 @@
     return []
 
 
-def _take_back(world: World, returned: SlotReturn) -> None:
+def _take_back(world: World, now_s: float, returned: SlotReturn) -> None:
     if returned.owner_incarnation != world.identity.incarnation:
         return
     for loan_id in returned.loan_ids:
         lent = world.slot_loans.lent.get(loan_id)
-        if lent is not None and lent.borrower == returned.seat:
-            _end_loan(world, lent)
+        if lent is None or lent.borrower != returned.seat:
+            continue
+        _end_loan(world, lent)
+        server = world.servers.get(lent.server_id)
+        if loan_id in returned.shed_loan_ids and server is not None:
+            note_shed(world, now_s, server)
 
 
 def _end_loan(world: World, lent: LentSlotRow) -> None:
@@ -160,15 +164,18 @@
 
 def return_idle_slots(world: World, now_s: float, pool: str) -> Effects:
     """Give back the borrowed slots of a pool that no request holds."""
-    idle: dict[tuple[str, int], list[int]] = {}
+    idle: dict[tuple[str, int], SlotReturn] = {}
+    me = world.identity
     for key, slot in list(world.slot_loans.borrowed.items()):
         if slot.pool != pool or slot.request_id is not None:
             continue
         del world.slot_loans.borrowed[key]
         owner = (slot.owner, slot.owner_incarnation)
-        idle.setdefault(owner, []).append(slot.loan_id)
-    me = world.identity
-    return [
-        SendPeer(seat, SlotReturn(me.seat, me.incarnation, incarnation, loan_ids))
-        for (seat, incarnation), loan_ids in idle.items()
-    ]
+        if owner not in idle:
+            idle[owner] = SlotReturn(
+                me.seat, me.incarnation, slot.owner_incarnation, []
+            )
+        idle[owner].loan_ids.append(slot.loan_id)
+        if slot.was_shed:
+            idle[owner].shed_loan_ids.append(slot.loan_id)
+    return [SendPeer(seat, returned) for (seat, _), returned in idle.items()]
--- a/src/rhubarbspan/systems/outcomes.py
+++ b/src/rhubarbspan/systems/outcomes.py
@@ -20,6 +20,7 @@
 from ..world import World
 from .queueing import rejoin_queue
 from .refusing import SERVER_ERROR_STATUS, finish, refuse
+from .slots import note_shed
 from .suspicion import acquit, is_quarantined, note_end, suspect
 
 MAX_ATTEMPTS = 4
@@ -29,7 +30,7 @@
 N_ATTEMPTS_TO_EJECT = 3
 EJECTION_S = 2.0
 MAX_EJECTION_S = 60.0
-SHED_PAUSE_S = 0.1
+MAX_SHED = 20
 SUSPECT_PAUSE_S = 0.1
 
 
@@ -60,7 +61,8 @@
         return []
     if ended.attempt_id != row.n_attempts:
         return []
-    _free_slot(world, row)
+    is_borrowed = row.slot_key is not None
+    _free_slot(world, row, isinstance(ended.outcome, Shed))
     server = world.servers.get(row.server_id)
     effects: Effects = []
     match ended.outcome:
@@ -70,10 +72,9 @@
             effects += _score(world, now_s, server, status >= SERVER_ERROR_STATUS)
             return effects + finish(world, now_s, row, status)
         case Shed():
-            if server is not None:
-                server.shed_until_s = now_s + SHED_PAUSE_S
-                world.deadlines.arm(server.shed_until_s, Timer.SERVER, server.pool)
-            return effects + _retry_or(world, now_s, row, NotRun(Reason.SHED))
+            if server is not None and not is_borrowed:
+                note_shed(world, now_s, server)
+            return effects + _wait_elsewhere(world, now_s, row)
         case ConnectFailed():
             effects += _score(world, now_s, server, True)
             verdict = NotRun(Reason.CONNECT_FAILED)
@@ -99,7 +100,7 @@
             return effects + refuse(world, now_s, row, MayHaveRun(reason))
 
 
-def _free_slot(world: World, row: RequestRow) -> None:
+def _free_slot(world: World, row: RequestRow, was_shed: bool) -> None:
     note_end(world, row)
     server = world.servers.get(row.server_id)
     if server is not None:
@@ -108,10 +109,26 @@
         slot = world.slot_loans.borrowed.get(row.slot_key)
         if slot is not None:
             slot.request_id = None
+            slot.was_shed = was_shed
         row.slot_key = None
     world.queues.dirty.add(row.route.pool)
 
 
+def _wait_elsewhere(world: World, now_s: float, row: RequestRow) -> Effects:
+    """Queue a shed request again: it costs nothing but time.
+
+    This takes nothing from the retry budget, since a server that sheds gets no work
+    for a while, which bounds how often that can happen.
+    """
+    row.n_shed += 1
+    row.last_verdict = NotRun(Reason.SHED)
+    if row.n_shed > MAX_SHED or now_s >= row.deadline_s:
+        return refuse(world, now_s, row, row.last_verdict)
+    world.count("shed", row.route.pool)
+    rejoin_queue(world, now_s, row)
+    return []
+
+
 def _note_service(world: World, now_s: float, row: RequestRow) -> None:
     queue = world.queues.of(row.route.pool)
     service_s = now_s - row.sent_s
@@ -162,7 +179,8 @@
         if isinstance(verdict, NotRun):
             return refuse(world, now_s, row, NotRun(Reason.QUARANTINED))
         return refuse(world, now_s, row, verdict)
-    is_over = row.n_attempts >= MAX_ATTEMPTS or now_s >= row.deadline_s
+    n_failed = row.n_attempts - row.n_shed
+    is_over = n_failed >= MAX_ATTEMPTS or now_s >= row.deadline_s
     if is_over or queue.retry_budget < 1:
         world.count("retries_refused", row.route.pool)
         return refuse(world, now_s, row, verdict)
--- a/src/rhubarbspan/systems/slots.py
+++ b/src/rhubarbspan/systems/slots.py
@@ -3,11 +3,13 @@
 import math
 
 from ..configuration import Pool
+from ..inputs import Timer
 from ..tables.servers import ServerRow
 from ..world import World
 
 N_PROBES_TO_FAIL = 3
 TRUST_SUCCESS_S = 2.0
+SHED_PAUSE_S = 0.1
 
 
 def assign_servers(world: World) -> None:
@@ -74,6 +76,16 @@
     return max(1, n_slots - n_foreign)
 
 
+def note_shed(world: World, now_s: float, row: ServerRow) -> None:
+    """Learn from a shed request that all other slots of the server are in use."""
+    pool = world.configuration.pools.get(row.pool)
+    if pool is not None:
+        n_others = pool.n_slots_per_server - len(row.running) - row.n_lent
+        row.n_foreign = max(row.n_foreign, float(n_others))
+    row.shed_until_s = now_s + SHED_PAUSE_S
+    world.deadlines.arm(row.shed_until_s, Timer.SERVER, row.pool)
+
+
 def n_free_slots(row: ServerRow, pool: Pool, now_s: float) -> int:
     """Count the slots of a server that can take a request now."""
     if row.shed_until_s > now_s:
--- a/src/rhubarbspan/tables/requests.py
+++ b/src/rhubarbspan/tables/requests.py
@@ -32,6 +32,7 @@
         has_claim: Whether a claim in the store belongs to it.
         shift: The planned shift that moves it, or an empty string.
         slot_key: The borrowed slot that it holds, or None.
+        n_shed: How often a server shed it.
         not_before_s: When it may be sent at the earliest.
         last_verdict: The verdict of the latest attempt that failed.
     """
@@ -55,6 +56,7 @@
     slot_key: tuple[str, int, int] | None = None
     last_verdict: NotRun | MayHaveRun | None = None
     not_before_s: float = 0.0
+    n_shed: int = 0
 
 
 class Requests:
--- a/src/rhubarbspan/tables/slot_loans.py
+++ b/src/rhubarbspan/tables/slot_loans.py
@@ -20,6 +20,7 @@
 
     Attributes:
         request_id: The request that holds the slot, or None.
+        was_shed: Whether the server shed the request that held it.
     """
 
     loan_id: int
@@ -31,6 +32,7 @@
     region: str
     until_s: float
     request_id: int | None = None
+    was_shed: bool = False
 
 
 @dataclass(slots=True)
--- a/src/rhubarbspan/wire/peer.py
+++ b/src/rhubarbspan/wire/peer.py
@@ -63,8 +63,9 @@
 
     Example:
         >>> from rhubarbspan.peer_messages import SlotReturn
-        >>> decode_message(encode_message(SlotReturn("a-1", 1, 2, [3])))
-        SlotReturn(seat='a-1', incarnation=1, owner_incarnation=2, loan_ids=[3])
+        >>> message = SlotReturn("a-1", 1, 2, [3])
+        >>> decode_message(encode_message(message)) == message
+        True
     """
     number = NUMBER_BY_TYPE[type(message)]
     row = msgspec.convert(message, _MIRRORS[number], from_attributes=True)
