Split the sharing of limits by duty, and take out what stood twice

Home shares, holders, delegations and token loans are a module each; commands read the store and find instances in one place, stand-ins listen in one place. 298 tests pass.

--- a/src/rhubarbspan/commands.py
+++ b/src/rhubarbspan/commands.py
@@ -23,6 +23,7 @@
     key_hashes,
 )
 from .fleet_client import (
+    Target,
     ask_history,
     ask_status,
     find_instances,
@@ -32,6 +33,7 @@
     Applied,
     ApplyResult,
     Rejected,
+    Stored,
     Superseded,
     apply_document,
     read_stored,
@@ -92,6 +94,28 @@
     return document, text
 
 
+async def _read(arguments: Namespace) -> Stored | None:
+    """Read the accepted configuration, or complain."""
+    store = HttpStore(arguments.store)
+    stored = await read_stored(store)
+    await store.close()
+    if isinstance(stored, Failure):
+        complain(stored.reason)
+        return None
+    return stored
+
+
+async def _find_targets(arguments: Namespace) -> list[Target] | None:
+    """Find the instances that can be asked, or complain."""
+    store = HttpStore(arguments.store)
+    targets = await find_instances(store, arguments.service, arguments.entry)
+    await store.close()
+    if isinstance(targets, Failure):
+        complain(targets.reason)
+        return None
+    return targets
+
+
 async def run_entry(arguments: Namespace) -> int:
     """Run a daemon."""
     text = read_file(arguments.settings)
@@ -129,11 +153,8 @@
 
 async def show_config(arguments: Namespace) -> int:
     """Print the accepted configuration with its revision."""
-    store = HttpStore(arguments.store)
-    stored = await read_stored(store)
-    await store.close()
-    if isinstance(stored, Failure):
-        complain(stored.reason)
+    stored = await _read(arguments)
+    if stored is None:
         return EXIT_FAILED
     text = write_document(stored.snapshot.document)
     header = f"{REVISION_PREFIX}{stored.head.revision} by {stored.head.author or '-'}"
@@ -147,11 +168,8 @@
     if isinstance(loaded, Failure):
         complain(loaded.reason)
         return EXIT_USAGE
-    store = HttpStore(arguments.store)
-    stored = await read_stored(store)
-    await store.close()
-    if isinstance(stored, Failure):
-        complain(stored.reason)
+    stored = await _read(arguments)
+    if stored is None:
         return EXIT_FAILED
     old = stored.snapshot.document
     change = compare_documents(old, loaded[0], stored.head.revision + 1, "", "")
@@ -285,11 +303,8 @@
 
 async def list_keys(arguments: Namespace) -> int:
     """List the hashes of a client account's keys."""
-    store = HttpStore(arguments.store)
-    stored = await read_stored(store)
-    await store.close()
-    if isinstance(stored, Failure):
-        complain(stored.reason)
+    stored = await _read(arguments)
+    if stored is None:
         return EXIT_FAILED
     hashes = key_hashes(stored.snapshot.document, arguments.account)
     if isinstance(hashes, Failure):
@@ -330,11 +345,8 @@
 
 async def watch_shift(arguments: Namespace) -> int:
     """Show how many requests a shift has moved."""
-    store = HttpStore(arguments.store)
-    targets = await find_instances(store, arguments.service, arguments.entry)
-    await store.close()
-    if isinstance(targets, Failure):
-        complain(targets.reason)
+    targets = await _find_targets(arguments)
+    if targets is None:
         return EXIT_FAILED
     status = await ask_status(targets)
     moved = {
@@ -355,11 +367,8 @@
 
 async def show_status(arguments: Namespace) -> int:
     """Show the status of all instances."""
-    store = HttpStore(arguments.store)
-    targets = await find_instances(store, arguments.service, arguments.entry)
-    await store.close()
-    if isinstance(targets, Failure):
-        complain(targets.reason)
+    targets = await _find_targets(arguments)
+    if targets is None:
         return EXIT_FAILED
     status = await ask_status(targets)
     emit(arguments, status, format_status(status))
@@ -368,11 +377,8 @@
 
 async def report_burn(arguments: Namespace) -> int:
     """Report service-level burn."""
-    store = HttpStore(arguments.store)
-    targets = await find_instances(store, arguments.service, arguments.entry)
-    await store.close()
-    if isinstance(targets, Failure):
-        complain(targets.reason)
+    targets = await _find_targets(arguments)
+    if targets is None:
         return EXIT_FAILED
     summaries, not_asked = await ask_history(targets)
     report = combine_burn(summaries, not_asked)
--- a/src/rhubarbspan/standins/backend.py
+++ b/src/rhubarbspan/standins/backend.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from ..wire.http import SHED_HEADER
+from .listening import listen
 
 MAX_BODY_BYTES = 1 << 30
 
@@ -67,17 +68,7 @@
         application = web.Application(client_max_size=MAX_BODY_BYTES)
         application.router.add_get("/health", self._health)
         application.router.add_route("*", "/{path:.*}", self._serve)
-        self.runner = web.AppRunner(
-            application,
-            access_log=None,
-            handler_cancellation=True,
-            shutdown_timeout=0.1,
-        )
-        await self.runner.setup()
-        site = web.TCPSite(self.runner, host, port)
-        await site.start()
-        host, port = self.runner.addresses[0][:2]
-        self.address = f"{host}:{port}"
+        self.runner, self.address = await listen(application, host, port)
         return self.address
 
     async def stop(self) -> None:
--- a/src/rhubarbspan/standins/store.py
+++ b/src/rhubarbspan/standins/store.py
@@ -8,6 +8,8 @@
 import msgspec
 from aiohttp import web
 
+from .listening import listen
+
 VALUE_LIMIT_BYTES = 1_000_000
 MAX_WAIT_S = 60.0
 
@@ -65,12 +67,7 @@
         application.router.add_put("/v1/txn", self._transact)
         application.router.add_put("/v1/session/create", self._open_session)
         application.router.add_get("/v1/health/service/{name}", self._list)
-        self.runner = web.AppRunner(application, access_log=None, shutdown_timeout=0.1)
-        await self.runner.setup()
-        site = web.TCPSite(self.runner, host, port)
-        await site.start()
-        host, port = self.runner.addresses[0][:2]
-        self.address = f"{host}:{port}"
+        self.runner, self.address = await listen(application, host, port)
         return self.address
 
     async def stop(self) -> None:
--- a/src/rhubarbspan/systems/admission.py
+++ b/src/rhubarbspan/systems/admission.py
@@ -18,8 +18,9 @@
     smoothed_demand_per_s,
     spend_token,
 )
+from .holders import live_holder
+from .homes import SHIFT_PREFIX
 from .refusing import refuse
-from .sharing import SHIFT_PREFIX, live_holder
 
 MAX_WAIT_S = 0.5
 ASK_TIMEOUT_S = 0.45
--- /dev/null
+++ b/src/rhubarbspan/systems/delegations.py
@@ -0,0 +1,254 @@
+"""Delegates home shares to holders for a term, and gives them back."""
+
+from ..effects import Effects, SendPeer
+from ..inputs import Timer
+from ..peer_messages import (
+    DelegatedShare,
+    DelegationGrant,
+    DelegationRequest,
+    DelegationReturn,
+    ReturnedShare,
+)
+from ..policies import PooledShares, StaticShares, Uncoordinated
+from ..tables.buckets import AskingRow, BucketRow, DelegatedRow, ShareRow
+from ..world import World
+from .bucketing import (
+    capacity,
+    holds_foreign_shares,
+    is_backed_without,
+    lender_term_s,
+    mint,
+)
+from .holders import choose_holder
+from .homes import DELEGATION_TERM_S, mint_at_home
+
+
+def renew_delegations(world: World, now_s: float) -> Effects:
+    """Choose holders anew, ask for the shares to hold, and return the others."""
+    effects: Effects = []
+    held: list[str] = []
+    match world.policies.limits:
+        case PooledShares():
+            pass
+        case StaticShares() | Uncoordinated():
+            _resume_all(world, now_s)
+            return []
+    for bucket in world.buckets.rows():
+        bucket.holder = choose_holder(world, bucket, now_s)
+        if _resume_if_lapsed(world, now_s, bucket):
+            effects += _delegate_to_asking(world, now_s, bucket)
+        if bucket.holder == world.identity.seat:
+            held.append(bucket.account)
+        else:
+            effects += _return_shares(world, now_s, bucket)
+    if held:
+        me = world.identity
+        request = DelegationRequest(me.seat, me.incarnation, now_s, held)
+        alive = [peer for peer in world.peers.alive() if peer.peer_address]
+        effects += [SendPeer(peer.seat, request) for peer in alive]
+    return effects
+
+
+def _resume_all(world: World, now_s: float) -> None:
+    for bucket in world.buckets.rows():
+        bucket.holder = world.identity.seat
+        _resume_if_lapsed(world, now_s, bucket)
+
+
+def _resume_if_lapsed(world: World, now_s: float, bucket: BucketRow) -> bool:
+    """Mint the own share here if its delegation is over; tell whether it was."""
+    delegated = bucket.delegated
+    if delegated is not None and now_s < delegated.until_s:
+        peer = world.peers.get(delegated.holder)
+        if peer is not None and not peer.is_alive:
+            world.deadlines.arm(delegated.until_s, Timer.HEARTBEAT, "extra")
+        return False
+    bucket.delegated = None
+    if world.identity.seat not in bucket.shares:
+        mint_at_home(world, now_s, bucket)
+    return delegated is not None
+
+
+def answer_delegation_request(
+    world: World, now_s: float, request: DelegationRequest
+) -> Effects:
+    """Delegate the own shares that are free, or renew their delegations."""
+    shares: list[DelegatedShare] = []
+    for account in request.accounts:
+        bucket = world.buckets.get(account)
+        if bucket is None:
+            continue
+        bucket.asking = AskingRow(request.seat, request.incarnation, request.asked_s)
+        share = _delegate(world, now_s, bucket, request)
+        if share is not None:
+            shares.append(share)
+    if not shares:
+        return []
+    me = world.identity
+    grant = DelegationGrant(
+        me.seat,
+        me.incarnation,
+        request.incarnation,
+        request.asked_s,
+        DELEGATION_TERM_S,
+        shares,
+    )
+    return [SendPeer(request.seat, grant)]
+
+
+def _delegate(
+    world: World, now_s: float, bucket: BucketRow, request: DelegationRequest
+) -> DelegatedShare | None:
+    """Delegate the own share of one account, or renew its delegation."""
+    until_s = now_s + lender_term_s(DELEGATION_TERM_S)
+    delegated = bucket.delegated
+    if delegated is not None and now_s < delegated.until_s:
+        is_same = delegated.holder == request.seat
+        if not is_same or delegated.holder_incarnation != request.incarnation:
+            return None
+        if bucket.holder != request.seat:
+            return None
+        delegated.until_s = until_s
+        return _describe_share(bucket, delegated.delegation_id, 0.0)
+    if bucket.holder != request.seat or bucket.own_burst <= 0:
+        return None
+    mint(bucket, now_s)
+    own = bucket.shares.get(world.identity.seat)
+    if own is None or not is_backed_without(bucket, own.home):
+        return None
+    n_tokens = min(bucket.n_tokens, own.burst)
+    del bucket.shares[own.home]
+    bucket.n_tokens = min(bucket.n_tokens - n_tokens, capacity(bucket))
+    bucket.n_delegations += 1
+    bucket.delegated = DelegatedRow(
+        request.seat, request.incarnation, bucket.n_delegations, until_s
+    )
+    return _describe_share(bucket, bucket.n_delegations, n_tokens)
+
+
+def _describe_share(
+    bucket: BucketRow, delegation_id: int, n_tokens: float
+) -> DelegatedShare:
+    return DelegatedShare(
+        bucket.account,
+        bucket.own_rate_per_s,
+        bucket.own_burst,
+        delegation_id,
+        n_tokens,
+    )
+
+
+def take_delegation(world: World, now_s: float, grant: DelegationGrant) -> None:
+    """Begin to mint from delegated shares, unless the grant is late or void."""
+    until_s = grant.asked_s + grant.term_s
+    if grant.holder_incarnation != world.identity.incarnation or until_s <= now_s:
+        return
+    for share in grant.shares:
+        bucket = world.buckets.get(share.account)
+        if bucket is None:
+            continue
+        if grant.asked_s <= bucket.returned_s.get(grant.seat, -1e9):
+            continue
+        _add_share(world, bucket, now_s, grant, share)
+
+
+def _add_share(
+    world: World,
+    bucket: BucketRow,
+    now_s: float,
+    grant: DelegationGrant,
+    share: DelegatedShare,
+) -> None:
+    mint(bucket, now_s)
+    until_s = grant.asked_s + grant.term_s
+    known = bucket.shares.get(grant.seat)
+    lives = (grant.incarnation, share.delegation_id)
+    if known is not None:
+        known_lives = (known.home_incarnation, known.delegation_id)
+        if lives < known_lives or grant.asked_s < known.asked_s:
+            return
+        is_first = lives > known_lives
+    else:
+        is_first = True
+    bucket.shares[grant.seat] = ShareRow(
+        grant.seat,
+        share.rate_per_s,
+        share.burst,
+        until_s,
+        grant.incarnation,
+        share.delegation_id,
+        grant.asked_s,
+    )
+    if is_first:
+        bucket.n_tokens += share.tokens
+        world.thirsty[bucket.account] = None
+        world.deadlines.arm(now_s, Timer.HEARTBEAT, "extra")
+    bucket.n_tokens = min(bucket.n_tokens, capacity(bucket))
+
+
+def _return_shares(world: World, now_s: float, bucket: BucketRow) -> Effects:
+    """Give foreign shares back, with their part of the tokens.
+
+    Shares on which loans rest stay until the loans are over.
+    """
+    if not holds_foreign_shares(bucket):
+        return []
+    mint(bucket, now_s)
+    foreign = [share for share in bucket.shares.values() if share.delegation_id]
+    effects: Effects = []
+    for share in foreign:
+        if not is_backed_without(bucket, share.home):
+            break
+        room = max(share.burst, capacity(bucket))
+        part = share.burst / room if room > 0 else 0.0
+        n_tokens = bucket.n_tokens * part
+        bucket.n_tokens -= n_tokens
+        del bucket.shares[share.home]
+        bucket.returned_s[share.home] = now_s
+        effects.append(_return_share(world, bucket, share, n_tokens))
+    if effects:
+        world.deadlines.arm(now_s, Timer.HEARTBEAT, "extra")
+    return effects
+
+
+def _return_share(
+    world: World, bucket: BucketRow, share: ShareRow, n_tokens: float
+) -> SendPeer:
+    me = world.identity
+    returned = ReturnedShare(bucket.account, share.delegation_id, n_tokens)
+    message = DelegationReturn(me.seat, me.incarnation, [returned])
+    return SendPeer(share.home, message)
+
+
+def take_share_back(world: World, now_s: float, returned: DelegationReturn) -> Effects:
+    """Mint own shares here again that their holder gave back."""
+    effects: Effects = []
+    for share in returned.shares:
+        bucket = world.buckets.get(share.account)
+        if bucket is None or bucket.delegated is None:
+            continue
+        delegated = bucket.delegated
+        known = (delegated.holder, delegated.holder_incarnation)
+        if known != (returned.seat, returned.incarnation):
+            continue
+        if delegated.delegation_id != share.delegation_id:
+            continue
+        bucket.delegated = None
+        mint_at_home(world, now_s, bucket)
+        bucket.n_tokens = min(bucket.n_tokens + share.tokens, capacity(bucket))
+        effects += _delegate_to_asking(world, now_s, bucket)
+    return effects
+
+
+def _delegate_to_asking(world: World, now_s: float, bucket: BucketRow) -> Effects:
+    """Pass a share that became free on to the holder that asked for it last.
+
+    The holder counts its term from when it asked, so an old request is still good.
+    """
+    asking = bucket.asking
+    if asking is None or asking.holder != bucket.holder:
+        return []
+    request = DelegationRequest(
+        asking.holder, asking.holder_incarnation, asking.asked_s, [bucket.account]
+    )
+    return answer_delegation_request(world, now_s, request)
--- /dev/null
+++ b/src/rhubarbspan/systems/homes.py
@@ -0,0 +1,130 @@
+"""Home shares: what each seat owns of the limits, and when it may mint that."""
+
+from ..configuration import ClientAccount, Shift
+from ..policies import PooledShares, StaticShares, Uncoordinated
+from ..tables.buckets import BucketRow, ShareRow
+from ..tables.peers import PeerRow
+from ..world import World
+from .bucketing import capacity, home_share, lender_term_s, mint
+
+DELEGATION_TERM_S = 0.9
+# How long an earlier life of the seat may still have its share delegated.
+STARTUP_S = lender_term_s(DELEGATION_TERM_S) + 0.5
+SHIFT_PREFIX = "shift:"
+FOREVER_S = 1e18
+
+
+def sync_buckets(world: World, now_s: float) -> None:
+    """Create, change and remove buckets to match the configuration in force."""
+    wanted: dict[str, tuple[float, int]] = {}
+    for account in world.configuration.client_accounts.values():
+        wanted[account.name] = _own_share(world, account)
+    for shift in world.configuration.shifts.values():
+        wanted[SHIFT_PREFIX + shift.name] = _shift_share(world, shift)
+    for bucket in world.buckets.rows():
+        if bucket.account not in wanted:
+            world.buckets.remove(bucket.account)
+    for name, (rate, burst) in wanted.items():
+        bucket = world.buckets.get(name) or BucketRow(name, minted_s=now_s)
+        world.buckets.add(bucket)
+        mint(bucket, now_s)
+        _set_own_share(world, now_s, bucket, rate, float(burst))
+    for shift in world.configuration.shifts.values():
+        bucket_of_shift = world.buckets.get(SHIFT_PREFIX + shift.name)
+        if bucket_of_shift is not None and bucket_of_shift.ramp_s == 0:
+            ramp_s = shift.cap_requests_per_s / shift.pace_requests_per_s2
+            bucket_of_shift.ramp_s = ramp_s
+            bucket_of_shift.ramp_start_s = now_s
+
+
+def _own_share(world: World, account: ClientAccount) -> tuple[float, int]:
+    match world.policies.limits:
+        case Uncoordinated():
+            return account.rate_per_s, account.burst
+        case PooledShares() | StaticShares():
+            return home_share(
+                account.name,
+                account.rate_per_s,
+                account.burst,
+                world.configuration.seats(),
+                world.identity.seat,
+            )
+
+
+def _shift_share(world: World, shift: Shift) -> tuple[float, int]:
+    # Rate plus burst is at most the cap, so that no second exceeds it.
+    burst = max(1, int(shift.cap_requests_per_s * 0.1))
+    rate = max(0.0, shift.cap_requests_per_s - burst)
+    if shift.cap_requests_per_s < 1:
+        return 0.0, 0
+    seats = world.configuration.seats()
+    name = SHIFT_PREFIX + shift.name
+    return home_share(name, rate, burst, seats, world.identity.seat)
+
+
+def _set_own_share(
+    world: World, now_s: float, bucket: BucketRow, rate: float, burst: float
+) -> None:
+    bucket.pending_rate_per_s = rate
+    bucket.pending_burst = burst
+    if world.unconfirmed_seats:
+        rate = min(rate, bucket.own_rate_per_s)
+        burst = min(burst, bucket.own_burst)
+    bucket.own_rate_per_s = rate
+    bucket.own_burst = burst
+    if bucket.delegated is None:
+        mint_at_home(world, now_s, bucket)
+
+
+def mint_at_home(world: World, now_s: float, bucket: BucketRow) -> None:
+    """Let this instance mint its own share, with its level unchanged."""
+    if now_s - world.started_s < STARTUP_S:
+        # An earlier life of this seat may have delegated the share.
+        return
+    mint(bucket, now_s)
+    seat = world.identity.seat
+    if bucket.own_burst <= 0:
+        bucket.shares.pop(seat, None)
+    else:
+        bucket.shares[seat] = ShareRow(
+            seat, bucket.own_rate_per_s, bucket.own_burst, FOREVER_S
+        )
+    bucket.n_tokens = min(bucket.n_tokens, capacity(bucket))
+
+
+def note_seats(world: World) -> None:
+    """Note which seats have to confirm a change of the places before shares grow."""
+    revision = world.configuration_state.snapshot.seats_revision
+    if revision <= world.confirmed_seats_revision:
+        return
+    for seat in {*world.known_seats, *world.configuration.seats()}:
+        place = world.configuration.data_centres.get(seat.rpartition("-")[0])
+        if seat == world.identity.seat or (place is not None and place.is_gone):
+            world.unconfirmed_seats.pop(seat, None)
+        else:
+            world.unconfirmed_seats[seat] = revision
+    world.is_first_seats = not world.known_seats
+    world.known_seats = world.configuration.seats()
+    world.confirmed_seats_revision = revision
+
+
+def confirm_seats(world: World, now_s: float) -> None:
+    """Let own shares grow once no seat can use an older, larger share."""
+    for seat, revision in list(world.unconfirmed_seats.items()):
+        peer = world.peers.get(seat)
+        has_confirmed = peer is not None and peer.revision >= revision
+        if has_confirmed or _is_known_absent(world, peer):
+            del world.unconfirmed_seats[seat]
+    if world.unconfirmed_seats:
+        return
+    for bucket in world.buckets.rows():
+        _set_own_share(
+            world, now_s, bucket, bucket.pending_rate_per_s, bucket.pending_burst
+        )
+
+
+def _is_known_absent(world: World, peer: PeerRow | None) -> bool:
+    """Tell whether an instance that has just started may go by the platform's list."""
+    if not (world.is_first_seats and world.has_peer_list):
+        return False
+    return peer is None or not (peer.is_listed or peer.is_alive)
--- a/src/rhubarbspan/systems/shifting.py
+++ b/src/rhubarbspan/systems/shifting.py
@@ -3,7 +3,7 @@
 from ..tables.requests import RequestRow
 from ..world import World
 from .bucketing import mint, note_arrivals, spend_token
-from .sharing import SHIFT_PREFIX
+from .homes import SHIFT_PREFIX
 
 NO_SHIFT = "-"
 LINK_USABLE_FRACTION = 0.9
--- /dev/null
+++ b/src/rhubarbspan/systems/token_loans.py
@@ -0,0 +1,73 @@
+"""Loans of tokens between a holder and the other instances."""
+
+from ..peer_messages import LoanReport, TokenGrant, TokenRequest
+from ..tables.buckets import BorrowedRow, BucketRow, LoanRow, WantRow
+from ..world import World
+from .bucketing import capacity, mint
+
+WANT_TERM_S = 0.45
+
+
+def note_token_request(world: World, now_s: float, request: TokenRequest) -> None:
+    """Take in what another instance reports and wants."""
+    if request.holder_incarnation == world.identity.incarnation:
+        _note_reports(world, now_s, request)
+    for want in request.wants:
+        bucket = world.buckets.get(want.account)
+        if bucket is None or not bucket.shares:
+            continue
+        bucket.wants.append(
+            WantRow(
+                request.seat,
+                request.incarnation,
+                0,
+                want.n_tokens,
+                request.asked_s,
+                now_s + WANT_TERM_S,
+            )
+        )
+        world.thirsty[bucket.account] = None
+
+
+def _note_reports(world: World, now_s: float, request: TokenRequest) -> None:
+    for report in request.reports:
+        bucket = world.buckets.get(report.account)
+        if bucket is None:
+            continue
+        mint(bucket, now_s)
+        loan = bucket.loans.get(report.loan_id)
+        if loan is None or loan.borrower != request.seat:
+            continue
+        _settle_loan(bucket, loan, report)
+        world.thirsty[bucket.account] = None
+
+
+def _settle_loan(bucket: BucketRow, loan: LoanRow, report: LoanReport) -> None:
+    n_open = loan.n_tokens - report.n_spent - report.n_returned
+    if n_open >= loan.n_open:
+        return
+    n_returned = max(0, report.n_returned - loan.n_returned)
+    loan.n_open = n_open
+    loan.n_returned += n_returned
+    if n_open <= 0:
+        del bucket.loans[loan.loan_id]
+    bucket.n_tokens = min(bucket.n_tokens + n_returned, capacity(bucket))
+
+
+def take_tokens(world: World, now_s: float, grant: TokenGrant) -> None:
+    """Take in tokens on loan, unless their term is over."""
+    until_s = grant.asked_s + grant.term_s
+    if grant.borrower_incarnation != world.identity.incarnation:
+        return
+    for loan in grant.loans:
+        bucket = world.buckets.get(loan.account)
+        if bucket is None:
+            continue
+        key = (grant.seat, grant.incarnation, loan.loan_id)
+        if key in bucket.borrowed or until_s <= now_s:
+            continue
+        bucket.borrowed[key] = BorrowedRow(
+            loan.loan_id, grant.seat, grant.incarnation, loan.n_tokens, until_s
+        )
+        bucket.n_asked = max(0, bucket.n_asked - loan.n_tokens)
+        world.thirsty[bucket.account] = None
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from rhubarbspan.systems import admission, bucketing, sharing
+from rhubarbspan.systems import admission, bucketing, delegations
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,7 +29,7 @@
 
 
 MUTANTS = (
-    Mutant("home-resumes-at-once", sharing, "lender_term_s", lambda term_s: 0.2),
+    Mutant("home-resumes-at-once", delegations, "lender_term_s", lambda term_s: 0.2),
     Mutant("loans-do-not-count", bucketing, "n_lent", lambda bucket: 0),
     Mutant("lapsed-shares-mint", admission, "mint", _keep_shares(bucketing.mint)),
     Mutant("tokens-spent-twice", admission, "spend_token", lambda bucket, now_s: True),
