Keep a removed account's bucket for a while

Cause: an account that was removed and put back got a new bucket at its home seats, which forgot that the share was delegated; home and holder could both mint for up to 0.9 s. Found by reading; neither the fuzzer nor the directed test had shown it, since the holder mostly forgets the account too. Change: a removed account's bucket stays for 10 s without a share of its own.

--- a/src/rhubarbspan/systems/admission.py
+++ b/src/rhubarbspan/systems/admission.py
@@ -40,7 +40,7 @@
     batches: dict[str, TokenRequest] = {}
     for account in thirsty:
         bucket = world.buckets.get(account)
-        if bucket is None:
+        if bucket is None or bucket.retired_s is not None:
             effects += _refuse_all(world, now_s, account)
             continue
         mint(bucket, now_s)
--- a/src/rhubarbspan/systems/homes.py
+++ b/src/rhubarbspan/systems/homes.py
@@ -12,6 +12,7 @@
 STARTUP_S = lender_term_s(DELEGATION_TERM_S) + 0.5
 SHIFT_PREFIX = "shift:"
 FOREVER_S = 1e18
+RETIREMENT_S = 10.0
 
 
 def sync_buckets(world: World, now_s: float) -> None:
@@ -23,10 +24,11 @@
         wanted[SHIFT_PREFIX + shift.name] = _shift_share(world, shift)
     for bucket in world.buckets.rows():
         if bucket.account not in wanted:
-            world.buckets.remove(bucket.account)
+            _retire(world, now_s, bucket)
     for name, (rate, burst) in wanted.items():
         bucket = world.buckets.get(name) or BucketRow(name, minted_s=now_s)
         world.buckets.add(bucket)
+        bucket.retired_s = None
         mint(bucket, now_s)
         _set_own_share(world, now_s, bucket, rate, float(burst))
     for shift in world.configuration.shifts.values():
@@ -37,6 +39,19 @@
             bucket_of_shift.ramp_start_s = now_s
 
 
+def _retire(world: World, now_s: float, bucket: BucketRow) -> None:
+    """Take an account's own share away; forget the account a while later.
+
+    If the account comes back at once, its bucket still knows where the share is.
+    """
+    if bucket.retired_s is None:
+        bucket.retired_s = now_s
+        _set_own_share(world, now_s, bucket, 0.0, 0.0)
+        world.thirsty[bucket.account] = None
+    elif now_s - bucket.retired_s > RETIREMENT_S:
+        world.buckets.remove(bucket.account)
+
+
 def _own_share(world: World, account: ClientAccount) -> tuple[float, int]:
     match world.policies.limits:
         case Uncoordinated():
--- a/src/rhubarbspan/tables/buckets.py
+++ b/src/rhubarbspan/tables/buckets.py
@@ -113,6 +113,7 @@
         ramp_s: Time over which the rate rises from zero, for shifts.
         returned_s: When shares were given back, by home seat; grants that were
             asked for earlier are void.
+        retired_s: When the account was removed, or None.
         asking: Who asked for the own share last, or None.
     """
 
@@ -140,6 +141,7 @@
     ramp_start_s: float = 0.0
     returned_s: dict[str, float] = field(default_factory=dict)
     asking: AskingRow | None = None
+    retired_s: float | None = None
 
 
 class Buckets:
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -67,7 +67,7 @@
         self.n_keys = 0
 
     def _send(self, seat: str, account: str, path: str, key: str) -> None:
-        key_hash = self.fleet.document[f"client_account {account}"]["key_hashes"]
+        key_hash = small_document()[f"client_account {account}"]["key_hashes"]
         arrived = RequestArrived(0, path, key_hash, key)
         self.fleet.send(seat, arrived, account, 0.05)
 
@@ -134,12 +134,23 @@
     def change_rate(self, account: str, factor: float) -> None:
         """Lower the rate of an account, or set it back."""
         title = f"client_account {account}"
+        if title not in self.fleet.document:
+            return
         rate, burst = ACCOUNTS[account]
         section = dict(self.fleet.document[title])
         section["rate_per_s"] = str(rate * factor)
         section["burst"] = str(max(1, int(burst * factor)))
         self.fleet.change({**self.fleet.document, title: section})
 
+    @rule(account=st.sampled_from(sorted(ACCOUNTS)), is_there=st.booleans())
+    def remove_account(self, account: str, is_there: bool) -> None:
+        """Remove an account, or put it back."""
+        title = f"client_account {account}"
+        document = {t: b for t, b in self.fleet.document.items() if t != title}
+        if is_there:
+            document[title] = small_document()[title]
+        self.fleet.change(document)
+
     @rule(n_seats=st.sampled_from(["0", "1", "2"]))
     def change_seats(self, n_seats: str) -> None:
         """Change how many seats share the limits."""
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -168,3 +168,17 @@
     return DelegatedShare(
         "ana", share.rate_per_s, share.burst, share.delegation_id, share.burst
     )
+
+
+def test_an_account_removed_and_put_back_gets_no_second_share() -> None:
+    fleet = start_fleet(small_document(), 2, {"shop": 6}, delay_s)
+    flood(fleet, SEATS, "ana")
+    title = "client_account ana"
+    section = fleet.document[title]
+    for _ in range(12):
+        fleet.run_for(0.9)
+        fleet.change({t: b for t, b in fleet.document.items() if t != title})
+        fleet.run_for(0.3)
+        fleet.change({**fleet.document, title: section})
+    fleet.run_for(6.0)
+    assert over_admission(Limit(*ACCOUNTS["ana"]), fleet.admitted_s["ana"]) == 0.0
