--- a/src/rhubarbspan/commands.py
+++ b/src/rhubarbspan/commands.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 
+import logbook
 import msgspec
 
 from .checking import check_document
@@ -29,6 +30,7 @@
     find_instances,
     wait_in_force,
 )
+from .logs import open_log
 from .publishing import (
     Applied,
     ApplyResult,
@@ -129,7 +131,10 @@
     # Imported late: the operators' commands need no server.
     from .edge.daemon import serve
 
-    failure = await serve(settings)
+    silent = logbook.NullHandler()
+    log = open_log(settings.log_level, settings.log_format)
+    with silent.applicationbound(), log.applicationbound():
+        failure = await serve(settings)
     if failure is not None:
         complain(failure.reason)
         return EXIT_FAILED
--- /dev/null
+++ b/src/rhubarbspan/logs.py
@@ -0,0 +1,28 @@
+"""Log lines about changes of state, as text or as JSON, one object a line."""
+
+import sys
+
+import logbook
+import msgspec
+
+FORMATS = ("text", "json")
+
+
+def open_log(level: str, form: str) -> logbook.StreamHandler:
+    """Make the handler of a daemon's log on standard error."""
+    handler = logbook.StreamHandler(sys.stderr, level=logbook.lookup_level(level))
+    if form == "json":
+        handler.formatter = format_json
+    return handler
+
+
+def format_json(record: logbook.LogRecord, handler: logbook.Handler) -> str:
+    """Write a record as a JSON object: time, level, seat and message."""
+    seat, _, message = record.message.partition(": ")
+    line = {
+        "time": record.time.isoformat(),
+        "level": record.level_name.lower(),
+        "seat": seat if message else "",
+        "message": message or record.message,
+    }
+    return msgspec.json.encode(line).decode()
--- a/src/rhubarbspan/settings.py
+++ b/src/rhubarbspan/settings.py
@@ -4,13 +4,14 @@
 import ipaddress
 from dataclasses import dataclass
 
+from .logs import FORMATS
 from .verdict import Failure
 
 SECTIONS: dict[str, tuple[str, ...]] = {
     "instance": ("seat", "data_centre", "region", "listen", "peer_listen"),
     "platform": ("store", "service"),
     "peers": ("seeds",),
-    "log": ("level",),
+    "log": ("level", "format"),
 }
 LEVELS = ("DEBUG", "INFO", "NOTICE", "WARNING", "ERROR")
 MAX_PORT = 65535
@@ -37,6 +38,7 @@
     service: str = "rhubarbspan"
     seeds: tuple[tuple[str, str], ...] = ()
     log_level: str = "INFO"
+    log_format: str = "text"
 
 
 def read_settings(text: str, file: str) -> Settings | Failure:
@@ -65,6 +67,7 @@
         parser.get("platform", "service", fallback="rhubarbspan"),
         seeds or (),
         parser.get("log", "level", fallback="INFO"),
+        parser.get("log", "format", fallback="text"),
     )
 
 
@@ -101,6 +104,9 @@
     level = parser.get("log", "level", fallback="INFO")
     if level not in LEVELS:
         return f"[log] level: {level!r}; accepted: {', '.join(LEVELS)}"
+    form = parser.get("log", "format", fallback="text")
+    if form not in FORMATS:
+        return f"[log] format: {form!r}; accepted: {', '.join(FORMATS)}"
     return None
 
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -132,6 +132,10 @@
         ({"listen": "localhost:80"}, "[instance] listen: 'localhost:80'; accepted:"),
         ({"seat": "sur-a-1"}, "[instance] seat: 'sur-a-1'; accepted:"),
         ({"colour": "red"}, "[instance] colour: 'red'; accepted:"),
+        (
+            {"peer_listen": "127.0.0.1:5\n[log]\nformat = xml"},
+            "[log] format: 'xml'; accepted:",
+        ),
         ({"region": ""}, "[instance] region: missing; accepted:"),
     ],
 )
@@ -165,6 +169,18 @@
     assert "Traceback" not in result.err
 
 
+def test_log_lines_can_be_json(tmp_path: Path) -> None:
+    path = write_settings(tmp_path, "127.0.0.1:9", free_address())
+    path.write_text(path.read_text() + "[log]\nformat = json\n")
+    daemon = start("entry", "--settings", str(path))
+    assert daemon.stderr is not None
+    line = json.loads(daemon.stderr.readline())
+    daemon.terminate()
+    daemon.communicate(timeout=30)
+    assert (line["seat"], line["level"]) == ("centro-a-1", "info")
+    assert line["message"].startswith("listening on")
+
+
 def test_wrong_use_has_status_two() -> None:
     assert run("config").status == 2
     assert run("drain", "moon", "x").status == 2
