Keep test ports apart, and wait for states rather than for time

Cause: in a clean clone on a loaded machine the test of the graceful stop got a 200 without a verdict: another server's answer on the daemon's port, or one after its end; which of the two was not found out.

--- a/src/rhubarbspan/standins/deployment.py
+++ b/src/rhubarbspan/standins/deployment.py
@@ -1,6 +1,8 @@
 """A whole deployment in one process: stand-ins and entry daemons on loopback."""
 
 import asyncio
+import itertools
+import os
 import socket
 from dataclasses import dataclass, field
 
@@ -18,13 +20,29 @@
 
 HOST = "127.0.0.1"
 SERVICE = "rhubarbspan"
+FIRST_PORT = 16_000
+N_PORTS = 16_000
+PORTS_PER_PROCESS = 97
+
+_port_numbers = itertools.count()
 
 
 def free_address() -> str:
-    """Find a loopback address that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return f"{HOST}:{probe.getsockname()[1]}"
+    """Find a loopback address that nothing listens on.
+
+    The port is below the range from which the system hands ports out, so that no
+    other process is given it before it is used.
+    """
+    first = os.getpid() * PORTS_PER_PROCESS
+    for _ in range(N_PORTS):
+        port = FIRST_PORT + (first + next(_port_numbers)) % N_PORTS
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+            return f"{HOST}:{port}"
+    raise OSError("no free port")
 
 
 @dataclass(slots=True)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -93,6 +93,12 @@
     found.run(asyncio.sleep(1.0))
     yield found
     found.run(deployment.stop())
+    tasks = asyncio.all_tasks(loop)
+    for task in tasks:
+        task.cancel()
+    if tasks:
+        found.run(asyncio.wait(tasks))
+    found.run(loop.shutdown_asyncgens())
     loop.close()
 
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -8,7 +8,7 @@
 import time
 import urllib.error
 import urllib.request
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -109,6 +109,23 @@
     pytest.fail(f"{path} was not answered with {status}")
 
 
+def wait_until(is_so: Callable[[], bool]) -> None:
+    """Wait until something holds."""
+    end_s = time.monotonic() + START_TIMEOUT_S
+    while not is_so():
+        assert time.monotonic() < end_s
+        time.sleep(0.02)
+
+
+def text_of(programs: Programs, path: str) -> str:
+    """Return the body of an answer, whatever its status."""
+    try:
+        with urllib.request.urlopen(f"http://{programs.entry}{path}") as answer:
+            return str(answer.read().decode())
+    except urllib.error.HTTPError as error:
+        return error.read().decode()
+
+
 @pytest.fixture(scope="module")
 def programs(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Programs]:
     """Run the stand-ins and one daemon."""
@@ -287,9 +304,9 @@
         stdout=subprocess.PIPE,
         text=True,
     )
-    time.sleep(1.0)
+    wait_until(lambda: 'n_requests":1' in text_of(programs, "/-/status"))
     daemon.send_signal(signal.SIGTERM)
-    time.sleep(0.5)
+    wait_until(lambda: text_of(programs, "/-/health") == "leaving")
     assert programs.get("/catalogo/lookup/while-leaving") == (200, "answered")
     out, _ = slow.communicate(timeout=30)
     assert out.strip() == "200"
