--- a/src/rhubarbspan/systems/dispatch.py
+++ b/src/rhubarbspan/systems/dispatch.py
@@ -25,9 +25,7 @@
 def dispatch_requests(world: World, now_s: float, inbox: Inbox) -> Effects:
     """Serve the queues of the pools whose requests or slots changed."""
     effects: Effects = []
-    dirty = list(world.queues.dirty)
-    world.queues.dirty.clear()
-    for name in dirty:
+    for name in world.queues.take_marked():
         pool = world.configuration.pools.get(name)
         queue = world.queues.of(name)
         if pool is None:
--- a/src/rhubarbspan/systems/health.py
+++ b/src/rhubarbspan/systems/health.py
@@ -35,8 +35,10 @@
     is_due = bool(inbox.due(Timer.HEARTBEAT)) or bool(inbox.of(PeersListed))
     if is_due or listings or world.is_configuration_new:
         assign_servers(world)
-        world.queues.dirty.update(world.configuration.pools)
-    world.queues.dirty.update(inbox.due(Timer.SERVER))
+        for pool in world.configuration.pools:
+            world.queues.mark(pool)
+    for pool in inbox.due(Timer.SERVER):
+        world.queues.mark(pool)
     return effects
 
 
@@ -123,7 +125,7 @@
     row.reported_s = now_s
     excess = probed.n_in_flight - len(row.running) - row.n_lent
     row.n_foreign += FOREIGN_SMOOTHING * (excess - row.n_foreign)
-    world.queues.dirty.add(row.pool)
+    world.queues.mark(row.pool)
     return effects
 
 
--- a/src/rhubarbspan/systems/lending.py
+++ b/src/rhubarbspan/systems/lending.py
@@ -94,7 +94,7 @@
         return []
     peer = world.peers.get(grant.seat)
     region = peer.region if peer else ""
-    world.queues.dirty.add(grant.pool)
+    world.queues.mark(grant.pool)
     for loan in grant.loans:
         key = (grant.seat, grant.incarnation, loan.loan_id)
         world.slot_loans.borrowed[key] = BorrowedSlotRow(
@@ -133,7 +133,7 @@
     server = world.servers.get(lent.server_id)
     if server is not None:
         server.n_lent = max(0, server.n_lent - 1)
-    world.queues.dirty.add(lent.pool)
+    world.queues.mark(lent.pool)
 
 
 def _drop_lapsed(world: World, now_s: float) -> None:
--- a/src/rhubarbspan/systems/outcomes.py
+++ b/src/rhubarbspan/systems/outcomes.py
@@ -111,7 +111,7 @@
             slot.request_id = None
             slot.was_shed = was_shed
         row.slot_key = None
-    world.queues.dirty.add(row.route.pool)
+    world.queues.mark(row.route.pool)
 
 
 def _wait_elsewhere(world: World, now_s: float, row: RequestRow) -> Effects:
--- a/src/rhubarbspan/systems/queueing.py
+++ b/src/rhubarbspan/systems/queueing.py
@@ -22,7 +22,7 @@
     world.requests.move(row, RequestState.QUEUED)
     row.queued_s = now_s
     queue.n_queued += 1
-    world.queues.dirty.add(queue.pool)
+    world.queues.mark(queue.pool)
     return queue.lanes.setdefault(row.account, LaneRow(row.account))
 
 
--- a/src/rhubarbspan/systems/steering.py
+++ b/src/rhubarbspan/systems/steering.py
@@ -110,7 +110,7 @@
         return PlanRow(pool.name, region, targets, now_s, empty_since_s)
     age_s = min(STEERING_INTERVAL_S, now_s - known.planned_s)
     fractions: dict[str, float] = {}
-    for other in targets.keys() | known.fractions.keys():
+    for other in sorted(targets.keys() | known.fractions.keys()):
         if other == region or other not in seats:
             continue
         old = known.fractions.get(other, 0.0)
--- a/src/rhubarbspan/tables/queues.py
+++ b/src/rhubarbspan/tables/queues.py
@@ -35,11 +35,21 @@
 class Queues:
     """Queues by pool, and the set of pools whose queue or slots changed."""
 
-    __slots__ = ("_rows", "dirty")
+    __slots__ = ("_rows", "_dirty")
 
     def __init__(self) -> None:
         self._rows: dict[str, QueueRow] = {}
-        self.dirty: set[str] = set()
+        self._dirty: dict[str, None] = {}
+
+    def mark(self, pool: str) -> None:
+        """Note that a pool's queue or slots changed."""
+        self._dirty[pool] = None
+
+    def take_marked(self) -> list[str]:
+        """Return the pools that were marked, in order, and unmark them."""
+        marked = list(self._dirty)
+        self._dirty.clear()
+        return marked
 
     def of(self, pool: str) -> QueueRow:
         """Return the queue of a pool, made when first asked for."""
