--- a/src/rhubarbspan/commands.py
+++ b/src/rhubarbspan/commands.py
@@ -53,6 +53,7 @@
 EXIT_USAGE = 2
 KEY_BYTES = 24
 N_EDIT_TRIES = 8
+NO_INSTANCE = "no instance is on the platform's list; name one with --entry"
 REVISION_PREFIX = "# revision "
 
 Command = Callable[[Namespace], Coroutine[None, None, int]]
@@ -115,6 +116,9 @@
     if isinstance(targets, Failure):
         complain(targets.reason)
         return None
+    if not targets:
+        complain(NO_INSTANCE)
+        return None
     return targets
 
 
@@ -259,6 +263,9 @@
     if isinstance(targets, Failure):
         complain(f"revision {revision} accepted; {targets.reason}")
         return EXIT_FAILED
+    if not targets:
+        complain(f"revision {revision} accepted; {NO_INSTANCE}")
+        return EXIT_FAILED
     if sys.stderr.isatty():
         complain(f"revision {revision} accepted; waiting for {len(targets)} instances")
     result = await wait_in_force(targets, revision, arguments.wait)
--- a/src/rhubarbspan/report/status.py
+++ b/src/rhubarbspan/report/status.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from ..systems.bucketing import capacity, mint_rate_per_s, n_lent
+from ..systems.bucketing import capacity, mint, mint_rate_per_s, n_lent
 from ..systems.revisions import config_age_s
 from ..systems.shifting import link_share_bytes_per_s
 from ..systems.slots import n_free_slots, n_usable_slots, owned_servers
@@ -114,7 +114,7 @@
         len(world.requests),
         sorted(world.unconfirmed_seats),
         _pools(world, now_s),
-        _accounts(world),
+        _accounts(world, now_s),
         _peers(world, now_s),
         _links(world),
         _planned(world),
@@ -140,7 +140,9 @@
     return rows
 
 
-def _accounts(world: World) -> list[BucketStatus]:
+def _accounts(world: World, now_s: float) -> list[BucketStatus]:
+    for bucket in world.buckets.rows():
+        mint(bucket, now_s)
     return [
         BucketStatus(
             bucket.account,
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -278,6 +278,13 @@
     assert report["rows"][0]["window"] == "5m"
 
 
+def test_waiting_for_no_instance_is_a_failure(programs: Programs) -> None:
+    arguments = ("key", "grant", "fogones-iquique", "--store", programs.store)
+    result = run(*arguments, "--wait", "5")
+    assert result.status == 1
+    assert "no instance is on the platform's list" in result.err
+
+
 def test_commands_fail_clearly_without_a_store() -> None:
     for command in (["config", "show"], ["status"], ["key", "list", "a"]):
         result = run(*command, "--store", "127.0.0.1:9")
