--- a/Makefile
+++ b/Makefile
@@ -46,7 +46,7 @@
 
 measure:
 	@rm -rf build/measure
-	@$(MAKE) --no-print-directory -j 6 $(MEASURED)
+	@$(MAKE) --no-print-directory -j 8 $(MEASURED)
 	@$(RUN) -m rhubarbspan.measure table $(MEASURED) | tee docs/MEASURED.txt
 
 fuzz: setup
