--- a/src/rhubarbspan/cli.py
+++ b/src/rhubarbspan/cli.py
@@ -8,6 +8,7 @@
 import logbook
 
 from . import __version__
+from .console import EXIT_FAILED
 from .settings import is_ip_and_port
 
 DEFAULT_STORE = "127.0.0.1:8500"
@@ -217,4 +218,4 @@
         try:
             return asyncio.run(command(arguments))
         except KeyboardInterrupt:
-            return running.EXIT_FAILED
+            return EXIT_FAILED
--- a/src/rhubarbspan/commands.py
+++ b/src/rhubarbspan/commands.py
@@ -7,10 +7,19 @@
 from pathlib import Path
 
 import logbook
-import msgspec
 
 from .checking import check_document
-from .document import Document, compare_documents
+from .console import (
+    EXIT_DONE,
+    EXIT_FAILED,
+    EXIT_USAGE,
+    complain,
+    emit,
+    load_document,
+    read_file,
+    say,
+)
+from .document import compare_documents
 from .edge.store import HttpStore
 from .edits import (
     Edit,
@@ -46,11 +55,8 @@
 from .settings import read_settings
 from .verdict import Failure
 from .wire.http import hash_key
-from .wire.ini import read_document, write_document
+from .wire.ini import write_document
 
-EXIT_DONE = 0
-EXIT_FAILED = 1
-EXIT_USAGE = 2
 KEY_BYTES = 24
 N_EDIT_TRIES = 8
 NO_INSTANCE = "no instance is on the platform's list; name one with --entry"
@@ -59,44 +65,6 @@
 Command = Callable[[Namespace], Coroutine[None, None, int]]
 
 
-def say(text: str) -> None:
-    """Print a line of output."""
-    sys.stdout.write(text + "\n")
-
-
-def complain(text: str) -> None:
-    """Print a line about an error."""
-    sys.stderr.write(text + "\n")
-
-
-def emit(arguments: Namespace, value: object, text: str) -> None:
-    """Print a result as JSON or as text."""
-    if arguments.json:
-        say(msgspec.json.encode(value).decode())
-    else:
-        say(text)
-
-
-def read_file(path: str) -> str | Failure:
-    """Read a text file."""
-    try:
-        return Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        reason = getattr(error, "strerror", None) or "is not UTF-8 text"
-        return Failure("file", f"{path}: {reason}")
-
-
-def load_document(path: str) -> tuple[Document, str] | Failure:
-    """Read and parse a configuration file; also return its text."""
-    text = read_file(path)
-    if isinstance(text, Failure):
-        return text
-    document = read_document(text, path)
-    if isinstance(document, Failure):
-        return document
-    return document, text
-
-
 async def _read(arguments: Namespace) -> Stored | None:
     """Read the accepted configuration, or complain."""
     store = HttpStore(arguments.store)
--- /dev/null
+++ b/src/rhubarbspan/console.py
@@ -0,0 +1,53 @@
+"""What commands print and read, and their exit statuses."""
+
+import sys
+from argparse import Namespace
+from pathlib import Path
+
+import msgspec
+
+from .document import Document
+from .verdict import Failure
+from .wire.ini import read_document
+
+EXIT_DONE = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+
+
+def say(text: str) -> None:
+    """Print a line of output."""
+    sys.stdout.write(text + "\n")
+
+
+def complain(text: str) -> None:
+    """Print a line about an error."""
+    sys.stderr.write(text + "\n")
+
+
+def emit(arguments: Namespace, value: object, text: str) -> None:
+    """Print a result as JSON or as text."""
+    if arguments.json:
+        say(msgspec.json.encode(value).decode())
+    else:
+        say(text)
+
+
+def read_file(path: str) -> str | Failure:
+    """Read a text file."""
+    try:
+        return Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        reason = getattr(error, "strerror", None) or "is not UTF-8 text"
+        return Failure("file", f"{path}: {reason}")
+
+
+def load_document(path: str) -> tuple[Document, str] | Failure:
+    """Read and parse a configuration file; also return its text."""
+    text = read_file(path)
+    if isinstance(text, Failure):
+        return text
+    document = read_document(text, path)
+    if isinstance(document, Failure):
+        return document
+    return document, text
--- a/src/rhubarbspan/demo.py
+++ b/src/rhubarbspan/demo.py
@@ -6,15 +6,8 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from .commands import (
-    EXIT_DONE,
-    EXIT_FAILED,
-    EXIT_USAGE,
-    complain,
-    load_document,
-    say,
-)
 from .configuration import Configuration, RouteKind
+from .console import EXIT_DONE, EXIT_FAILED, EXIT_USAGE, complain, load_document, say
 from .document import Document
 from .edits import Edit, StartDrain, WithdrawKey, apply_edit
 from .publishing import Applied, read_stored
--- a/src/rhubarbspan/running.py
+++ b/src/rhubarbspan/running.py
@@ -3,7 +3,6 @@
 from argparse import Namespace
 
 from . import commands
-from .commands import EXIT_FAILED as EXIT_FAILED
 
 
 def choose(arguments: Namespace) -> commands.Command:
