--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -28,6 +28,7 @@
 T = TypeVar("T")
 KEY = "secret-ana"
 OTHER_KEY = "secret-bo"
+LIMITED_KEY = "secret-cy"
 
 
 @dataclass(slots=True)
@@ -76,6 +77,11 @@
             "burst": "500",
             "key_hashes": hash_key(key),
         }
+    document["client_account cy"] = {
+        "rate_per_s": "20",
+        "burst": "10",
+        "key_hashes": hash_key(LIMITED_KEY),
+    }
     document["data_centre x"] = {"region": "r", "client_blocks": "127.0.0.0/8"}
     document["data_centre y"] = {"region": "s"}
     document["link rs"] = {"regions": "r, s", "cap_mbit_per_s": "1000"}
@@ -318,6 +324,24 @@
     assert sum(backend.n_deaths for backend in backends) == n_deaths + 1
 
 
+def test_limit_holds_over_all_instances_together(site: Site) -> None:
+    entries = site.deployment.entries()
+
+    async def work() -> tuple[int, float]:
+        start_s = site.loop.time()
+        async with CallerStandIn(entries, LIMITED_KEY) as caller:
+            sends = [
+                caller.send(entries[number % len(entries)], "/look/limited")
+                for number in range(200)
+            ]
+            results = await asyncio.gather(*sends)
+        n_answered = sum(result.verdict == "answered" for result in results)
+        return n_answered, site.loop.time() - start_s
+
+    n_answered, elapsed_s = site.run(work())
+    assert 0 < n_answered <= 10 + 20 * elapsed_s
+
+
 def test_upload_is_streamed_whole(site: Site) -> None:
     result = site.send("/put", method="POST", body=b"u" * 20_000_000)
     assert result.status == 200
