--- a/src/rhubarbspan/commands.py
+++ b/src/rhubarbspan/commands.py
@@ -19,7 +19,7 @@
     read_file,
     say,
 )
-from .document import compare_documents
+from .document import Document, compare_documents
 from .edge.store import HttpStore
 from .edits import (
     Edit,
@@ -65,6 +65,15 @@
 Command = Callable[[Namespace], Coroutine[None, None, int]]
 
 
+def _load(arguments: Namespace) -> tuple[Document, str] | None:
+    """Read and parse the configuration file, or complain."""
+    loaded = load_document(arguments.file)
+    if isinstance(loaded, Failure):
+        complain(loaded.reason)
+        return None
+    return loaded
+
+
 async def _read(arguments: Namespace) -> Stored | None:
     """Read the accepted configuration, or complain."""
     store = HttpStore(arguments.store)
@@ -115,9 +124,8 @@
 
 async def check_config(arguments: Namespace) -> int:
     """Check a configuration file."""
-    loaded = load_document(arguments.file)
-    if isinstance(loaded, Failure):
-        complain(loaded.reason)
+    loaded = _load(arguments)
+    if loaded is None:
         return EXIT_USAGE
     _, problems = check_document(loaded[0])
     for problem in problems:
@@ -141,9 +149,8 @@
 
 async def diff_config(arguments: Namespace) -> int:
     """Print how a file differs from the accepted configuration."""
-    loaded = load_document(arguments.file)
-    if isinstance(loaded, Failure):
-        complain(loaded.reason)
+    loaded = _load(arguments)
+    if loaded is None:
         return EXIT_USAGE
     stored = await _read(arguments)
     if stored is None:
@@ -163,9 +170,8 @@
 
 async def apply_config(arguments: Namespace) -> int:
     """Publish a configuration file on top of the revision that it names."""
-    loaded = load_document(arguments.file)
-    if isinstance(loaded, Failure):
-        complain(loaded.reason)
+    loaded = _load(arguments)
+    if loaded is None:
         return EXIT_USAGE
     document, text = loaded
     base = arguments.base
--- a/src/rhubarbspan/configuration.py
+++ b/src/rhubarbspan/configuration.py
@@ -4,8 +4,6 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-DEFAULT_MAX_CONFIG_AGE_S = 0.0
-
 
 class RouteKind(Enum):
     """How often a request of a route may run."""
--- a/src/rhubarbspan/inputs.py
+++ b/src/rhubarbspan/inputs.py
@@ -213,7 +213,6 @@
     """What a deadline is for."""
 
     REQUEST = "request"
-    ADMISSION = "admission"
     BUCKET = "bucket"
     HEARTBEAT = "heartbeat"
     STEERING = "steering"
--- a/src/rhubarbspan/platform.py
+++ b/src/rhubarbspan/platform.py
@@ -6,8 +6,6 @@
 
 from .verdict import Failure
 
-VALUE_LIMIT_BYTES = 1_000_000
-
 
 @dataclass(slots=True)
 class Entry:
