--- a/src/rhubarbspan/checking.py
+++ b/src/rhubarbspan/checking.py
@@ -8,6 +8,7 @@
 
 from .configuration import (
     Block,
+    CallerLimits,
     ClientAccount,
     Configuration,
     DataCentre,
@@ -25,6 +26,7 @@
 KEY_HASH_LENGTH = 64
 MAX_RATE_PER_S = 1_000_000.0
 MAX_TIMEOUT_S = 3600.0
+MAX_PRIORITY = 1000
 MAX_NAME_LENGTH = 64
 NAME_CHARACTERS = set("abcdefghijklmnopqrstuvwxyz0123456789-_.")
 
@@ -68,17 +70,26 @@
         Option("max_config_age_s", "0 to 86400 seconds, 0 for no bound", "0"),
         Option("availability_objective", "0 to 0.99999", "0.999"),
         Option("latency_objective_s", "0.001 to 3600 seconds", "1"),
+        Option("host", "the name of a host, or nothing for all hosts", ""),
+        Option("attempts", "1 to 100 backend servers for one request", "4"),
+        Option("priority", "0 to 1000, 0 first", "0"),
+        Option("regions", "regions separated by commas, or nothing for all", ""),
+        Option("affinity", "yes or no", "no"),
+        Option("split", "POOL=WEIGHT pairs separated by commas", ""),
     ),
     "pool": (
         Option("slots_per_server", "1 to 10000", "3"),
         Option("connections_per_server", "1 to 100000", "350"),
         Option("max_queued", "0 to 100000", "200"),
         Option("ramp_s", "0 to 3600 seconds", "10"),
+        Option("cold_rate_per_s", "0 to 1000000 requests per second", "1000000"),
     ),
     "client_account": (
         Option("rate_per_s", "0 to 1000000 requests per second", None),
         Option("burst", "1 to 1000000 requests", None),
         Option("key_hashes", "SHA-256 hashes in hexadecimal, separated by commas", ""),
+        Option("priority", "-1 to 1000, 0 first, -1 for the route's", "-1"),
+        Option("regions", "regions separated by commas, or nothing for all", ""),
     ),
     "data_centre": (
         Option("region", "a name", None),
@@ -98,6 +109,12 @@
         Option("pace_requests_per_s2", "0.001 to 1000000 requests per second²", "1"),
         Option("fraction", "0 to 1", "1"),
     ),
+    "limits": (
+        Option("head_bytes", "1 to 1000000 bytes", "16384"),
+        Option("body_bytes", "0 to 1000000000000 bytes", "67108864"),
+        Option("head_timeout_s", "0.01 to 3600 seconds", "10"),
+        Option("idle_timeout_s", "0.01 to 3600 seconds", "60"),
+    ),
     "drain": (
         Option("kind", "instance, backend_server, data_centre", None),
         Option("target", "a name", None),
@@ -142,6 +159,8 @@
         """Read a value with a parser and check its range."""
         text = self.text(key)
         if not text:
+            if key in self.body:
+                self.reject(key, text)
             return low
         try:
             value = parse(text)
@@ -289,7 +308,14 @@
         rate = reader.number("rate_per_s", 0.0, MAX_RATE_PER_S)
         burst = reader.integer("burst", 1, int(MAX_RATE_PER_S))
         hashes = reader.items("key_hashes")
-        configuration.client_accounts[name] = ClientAccount(name, rate, burst, hashes)
+        configuration.client_accounts[name] = ClientAccount(
+            name,
+            rate,
+            burst,
+            hashes,
+            reader.integer("priority", -1, MAX_PRIORITY),
+            reader.items("regions"),
+        )
         for value in hashes:
             if len(value) != KEY_HASH_LENGTH or set(value) - set("0123456789abcdef"):
                 reader.reject("key_hashes", value)
@@ -309,6 +335,7 @@
             reader.integer("connections_per_server", 1, 100_000),
             reader.integer("max_queued", 0, 100_000),
             reader.number("ramp_s", 0, 3600),
+            reader.number("cold_rate_per_s", 0, MAX_RATE_PER_S),
         )
     for name, reader in readers["route"].items():
         configuration.routes[name] = Route(
@@ -321,9 +348,42 @@
             reader.number("max_config_age_s", 0, 86_400),
             reader.number("availability_objective", 0, 0.99999),
             reader.number("latency_objective_s", 0.001, MAX_TIMEOUT_S),
+            reader.text("host"),
+            reader.integer("attempts", 1, 100),
+            reader.integer("priority", 0, MAX_PRIORITY),
+            reader.items("regions"),
+            reader.flag("affinity"),
+            _read_split(reader, set(configuration.pools)),
+        )
+    for reader in readers["limits"].values():
+        configuration.caller_limits = CallerLimits(
+            reader.integer("head_bytes", 1, 1_000_000),
+            reader.integer("body_bytes", 0, 1_000_000_000_000),
+            reader.number("head_timeout_s", 0.01, 3600),
+            reader.number("idle_timeout_s", 0.01, 3600),
         )
 
 
+def _read_split(
+    reader: SectionReader, pools: set[str]
+) -> tuple[tuple[str, float], ...]:
+    """Read the parts of a route that is split over several pools."""
+    parts: list[tuple[str, float]] = []
+    for item in reader.items("split"):
+        pool, _, text = item.partition("=")
+        try:
+            weight = float(text)
+        except ValueError:
+            weight = -1.0
+        if pool not in pools or not 0 <= weight <= MAX_RATE_PER_S:
+            reader.reject("split", item, "the name of a pool, = and a weight")
+            return ()
+        parts.append((pool, weight))
+    if parts and not sum(weight for _, weight in parts) > 0:
+        reader.reject("split", reader.text("split"), "a weight above 0")
+    return tuple(parts)
+
+
 def _read_planned(
     configuration: Configuration, readers: dict[str, dict[str, SectionReader]]
 ) -> None:
@@ -352,14 +412,14 @@
 
 
 def _check_paths(configuration: Configuration, problems: list[Problem]) -> None:
-    owners: dict[str, str] = {}
+    owners: dict[tuple[str, str], str] = {}
     for route in configuration.routes.values():
         prefix = route.path_prefix
         title = f"route {route.name}"
         if not prefix.startswith("/") or prefix == "/-" or prefix.startswith("/-/"):
             accepted = "a path that starts with /, except /-/"
             problems.append(Problem(title, "path_prefix", prefix, accepted))
-        other = owners.setdefault(prefix.rstrip("/"), route.name)
+        other = owners.setdefault((route.host, prefix.rstrip("/")), route.name)
         if other != route.name:
             accepted = f"a path that route {other} does not have"
             problems.append(Problem(title, "path_prefix", prefix, accepted))
--- a/src/rhubarbspan/cli.py
+++ b/src/rhubarbspan/cli.py
@@ -27,6 +27,12 @@
         commands, "entry", "run an entry instance", "entry --settings entry.ini"
     )
     entry.add_argument("--settings", required=True, help="the daemon's settings file")
+    serve = _add(
+        commands, "serve", "run an instance on the platform", "serve --settings f.yaml"
+    )
+    serve.add_argument(
+        "--settings", default="", help="settings file, if the environment names none"
+    )
     _add_config(commands)
     _add_keys(commands)
     _add_drains(commands)
--- a/src/rhubarbspan/commands.py
+++ b/src/rhubarbspan/commands.py
@@ -1,5 +1,6 @@
 """The operators' commands, each a function that returns an exit status."""
 
+import os
 import secrets
 import sys
 from argparse import Namespace
@@ -122,6 +123,23 @@
     return EXIT_DONE
 
 
+async def run_instance(arguments: Namespace) -> int:
+    """Run an instance on the platform."""
+    # Imported late: the operators' commands need no server.
+    from .edge.instance import serve
+    from .platform.settings import DEFAULT_PATH, PATH_VARIABLE
+
+    path = arguments.settings or os.environ.get(PATH_VARIABLE, DEFAULT_PATH)
+    silent = logbook.NullHandler()
+    log = open_log("INFO", "json")
+    with silent.applicationbound(), log.applicationbound():
+        failure = await serve(path)
+    if failure is None:
+        return EXIT_DONE
+    complain(failure.reason)
+    return EXIT_FAILED if failure.code == "listen" else EXIT_USAGE
+
+
 async def check_config(arguments: Namespace) -> int:
     """Check a configuration file."""
     loaded = _load(arguments)
--- a/src/rhubarbspan/configuration.py
+++ b/src/rhubarbspan/configuration.py
@@ -23,7 +23,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """One row of the operators' table of routes."""
+    """One row of the operators' table of routes.
+
+    Attributes:
+        pool: The pool that serves it; for a route that is split, its first part.
+        host: The host that it is for, or an empty string for all hosts.
+        n_max_attempts: The most servers that one request may be sent to.
+        priority: Its rank where room is short, 0 being the highest.
+        regions: The regions that may serve it, or none for all regions.
+        is_affine: Whether requests that concern one object go to one server.
+        parts: Pools and weights of a route that is split, otherwise none.
+    """
 
     name: str
     pool: str
@@ -34,27 +44,56 @@
     max_config_age_s: float
     availability_objective: float
     latency_objective_s: float
+    host: str = ""
+    n_max_attempts: int = 4
+    priority: int = 0
+    regions: tuple[str, ...] = ()
+    is_affine: bool = False
+    parts: tuple[tuple[str, float], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class Pool:
-    """One row of the operators' table of pools."""
+    """One row of the operators' table of pools.
+
+    Attributes:
+        cold_rate_per_s: Requests a second that a cold server bears from all
+            instances together.
+    """
 
     name: str
     n_slots_per_server: int
     n_connections_per_server: int
     n_max_queued: int
     ramp_s: float
+    cold_rate_per_s: float = 1e6
 
 
 @dataclass(frozen=True, slots=True)
 class ClientAccount:
-    """A tenant, with its limit over the whole fleet and the hashes of its keys."""
+    """A tenant, with its limit over the whole fleet and the hashes of its keys.
+
+    Attributes:
+        priority: Its rank, which goes before the route's, or -1 if it has none.
+        regions: The regions that may serve it, or none for all regions.
+    """
 
     name: str
     rate_per_s: float
     burst: int
     key_hashes: tuple[str, ...]
+    priority: int = -1
+    regions: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What a caller may send, and how long it may take or stay idle."""
+
+    n_head_bytes: int = 16_384
+    n_body_bytes: int = 67_108_864
+    head_timeout_s: float = 10.0
+    idle_timeout_s: float = 60.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,6 +169,7 @@
     drains: dict[str, Drain] = field(default_factory=dict)
     account_by_key_hash: dict[str, str] = field(default_factory=dict)
     blocks: BlockTable = field(default_factory=dict)
+    caller_limits: CallerLimits = CallerLimits()
 
     def seats(self) -> list[str]:
         """List the names of the seats that entry instances can occupy.
@@ -155,8 +195,13 @@
         return list(dict.fromkeys(p.region for p in self.data_centres.values()))
 
 
-def match_route(configuration: Configuration, path: str) -> Route | None:
-    """Find the route with the longest prefix of a path, at segment boundaries.
+def match_route(
+    configuration: Configuration, path: str, host: str = ""
+) -> Route | None:
+    """Find the route of a host with the longest prefix of a path.
+
+    A prefix matches at segment boundaries; one that ends with a slash does not match
+    the path without it. Routes of the host go before routes for all hosts.
 
     Example:
         >>> route = Route("r", "p", "/a", RouteKind.IDEMPOTENT, True, 1, 0, 0.99, 1)
@@ -167,12 +212,22 @@
         True
     """
     best: Route | None = None
+    best_rank = (False, -1)
     for route in configuration.routes.values():
-        prefix = route.path_prefix.rstrip("/")
-        if path != prefix and not path.startswith(prefix + "/"):
+        prefix = route.path_prefix
+        if route.host not in ("", host):
+            continue
+        if not path.startswith(prefix):
+            continue
+        if not prefix.endswith("/") and path[len(prefix) : len(prefix) + 1] not in (
+            "",
+            "/",
+        ):
             continue
-        if best is None or len(prefix) > len(best.path_prefix.rstrip("/")):
+        rank = (bool(route.host), len(prefix))
+        if rank > best_rank:
             best = route
+            best_rank = rank
     return best
 
 
--- a/src/rhubarbspan/console.py
+++ b/src/rhubarbspan/console.py
@@ -50,4 +50,7 @@
     document = read_document(text, path)
     if isinstance(document, Failure):
         return document
+    if not document:
+        # Publishing it would take every route away.
+        return Failure("empty", f"{path}: no sections; accepted: at least one")
     return document, text
--- a/src/rhubarbspan/edge/platform_client.py
+++ b/src/rhubarbspan/edge/catalog.py
@@ -12,7 +12,7 @@
     ServersListed,
     StoreContacted,
 )
-from ..platform import Committed, Conflict, Operation, Verb
+from ..keyvalue import Committed, Conflict, Operation, Verb
 from ..publishing import read_stored
 from ..verdict import Failure
 from ..wire.consul import to_peer_listing, to_server_listing
@@ -28,7 +28,7 @@
 CLAIMS_PREFIX = "rhubarbspan/claims/"
 
 
-class PlatformClient:
+class Catalog:
     """Reads configuration and lists, and writes claims in batches."""
 
     __slots__ = (
--- a/src/rhubarbspan/edge/daemon.py
+++ b/src/rhubarbspan/edge/daemon.py
@@ -25,9 +25,9 @@
 from ..verdict import Failure
 from ..world import Identity, create_world
 from .backend import BackendClient
+from .catalog import Catalog
 from .exchange import Exchanges
 from .peers import PeerEdge
-from .platform_client import PlatformClient
 from .probing import Prober
 from .server import CallerServer
 from .store import HttpStore
@@ -80,7 +80,7 @@
         )
         self._peers = PeerEdge(self.ticker)
         store = HttpStore(settings.store)
-        self._platform = PlatformClient(self.ticker, store, settings.service)
+        self._platform = Catalog(self.ticker, store, settings.service)
         self._prober = Prober(self.ticker)
 
     async def start(self) -> Failure | None:
--- /dev/null
+++ b/src/rhubarbspan/edge/feed.py
@@ -0,0 +1,200 @@
+"""Follows the platform's store and turns what it holds into inputs."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+
+import logbook
+
+from ..document import Snapshot
+from ..inputs import (
+    ConfigurationOffered,
+    EvacuationsListed,
+    PeerListing,
+    PeersListed,
+    ServerListing,
+    ServersListed,
+    StoreContacted,
+    StoreRegained,
+)
+from ..platform.manifest import Translated, read_manifest
+from ..platform.records import (
+    CONFIGURATION_KEY,
+    INSTANCE_PREFIX,
+    OPERATOR_PREFIX,
+    SERVER_PREFIX,
+    read_evacuated,
+    read_instance,
+    read_server,
+)
+from ..platform.settings import PlatformSettings
+from ..platform.store import Item, PlatformStore, Reading
+from ..verdict import Failure
+from .ticker import Ticker
+
+LOG = logbook.Logger("rhubarbspan.store")
+# A watch waits well under the shortest bound (2.5 s for a new configuration), since
+# one whose connection fell silent is noticed only when it should have returned.
+WAIT_S = 1.0
+# Servers report often, so that a watch over them returns at once: the pause between
+# two calls bounds their number, and with the wait the age of a report.
+SERVERS_PAUSE_S = 0.6
+INSTANCES_PAUSE_S = 1.0
+RETRY_S = 0.25
+# Part of the time after which a withdrawn key must not work that a configuration may
+# be old; the rest is for requests that wait and for clocks.
+AGE_FRACTION = 0.7
+
+
+@dataclass(slots=True)
+class Mirror:
+    """What the store held under one prefix.
+
+    Attributes:
+        revision: The store's revision up to which it is known, 0 for not at all.
+        values: Values by key.
+        is_failing: Whether the last call failed.
+    """
+
+    prefix: str
+    pause_s: float
+    revision: int = 0
+    values: dict[str, bytes | None] = field(default_factory=dict)
+    is_failing: bool = False
+
+
+class Feed:
+    """Follows three prefixes: the operator's, the servers' and the instances'."""
+
+    __slots__ = ("_ticker", "_store", "_settings", "_tasks", "_malformed")
+
+    def __init__(
+        self, ticker: Ticker, store: PlatformStore, settings: PlatformSettings
+    ) -> None:
+        self._ticker = ticker
+        self._store = store
+        self._settings = settings
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._malformed: dict[str, bytes | None] = {}
+
+    def start(self) -> None:
+        """Begin to follow."""
+        operator = Mirror(OPERATOR_PREFIX, 0.0)
+        servers = Mirror(SERVER_PREFIX, SERVERS_PAUSE_S)
+        instances = Mirror(INSTANCE_PREFIX, INSTANCES_PAUSE_S)
+        self._spawn(self._follow(operator, self._offer_operator))
+        self._spawn(self._follow(servers, self._offer_servers))
+        self._spawn(self._follow(instances, self._offer_instances))
+
+    async def stop(self) -> None:
+        """Stop following."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _follow(
+        self, mirror: Mirror, offer: Callable[[Mirror, float], None]
+    ) -> None:
+        """Read a prefix whole and then its changes.
+
+        After a failure, which may have lost some, it is read whole again.
+        """
+        while True:
+            asked_s = self._ticker.now_s()
+            is_whole = mirror.revision == 0
+            if is_whole:
+                reading = await self._store.read_range(mirror.prefix)
+            else:
+                reading = await self._store.watch(
+                    mirror.prefix, mirror.revision, WAIT_S
+                )
+            if isinstance(reading, Failure):
+                self._note_failure(mirror, reading)
+                await asyncio.sleep(RETRY_S)
+                continue
+            if mirror.is_failing:
+                mirror.is_failing = False
+                LOG.info("{}: the store answers again", mirror.prefix)
+                self._ticker.inputs.on_next(StoreRegained())
+            _apply(mirror, reading, is_whole)
+            offer(mirror, asked_s)
+            await asyncio.sleep(mirror.pause_s)
+
+    def _note_failure(self, mirror: Mirror, failure: Failure) -> None:
+        self._ticker.world.count("store_failures", failure.code)
+        mirror.revision = 0
+        if not mirror.is_failing:
+            mirror.is_failing = True
+            LOG.warning("{}: {}", mirror.prefix, failure.reason)
+
+    def _offer_operator(self, mirror: Mirror, asked_s: float) -> None:
+        places = {read_evacuated(key) for key in mirror.values} - {""}
+        self._ticker.inputs.on_next(EvacuationsListed(frozenset(places)))
+        value = mirror.values.get(CONFIGURATION_KEY)
+        if value is None:
+            return
+        max_age_s = AGE_FRACTION * self._settings.bounds.revocation_s
+        translated = read_manifest(value, self._settings.regions, max_age_s)
+        match translated:
+            case Failure(reason=reason):
+                self._note_malformed(CONFIGURATION_KEY, value, reason)
+            case Translated(revision=revision, document=document):
+                state = self._ticker.world.configuration_state
+                if revision == state.snapshot.revision:
+                    self._ticker.inputs.on_next(StoreContacted(revision, asked_s))
+                else:
+                    offer = ConfigurationOffered(
+                        Snapshot(revision, document), [], True, asked_s
+                    )
+                    self._ticker.inputs.on_next(offer)
+
+    def _offer_servers(self, mirror: Mirror, asked_s: float) -> None:
+        by_pool: dict[str, list[ServerListing]] = {
+            pool: [] for pool in self._ticker.world.configuration.pools
+        }
+        for key, value in mirror.values.items():
+            server = read_server(key, value or b"")
+            if isinstance(server, Failure):
+                self._note_malformed(key, value, server.reason)
+            else:
+                by_pool.setdefault(server.pool, []).append(server)
+        for pool, servers in by_pool.items():
+            self._ticker.inputs.on_next(ServersListed(pool, servers))
+
+    def _offer_instances(self, mirror: Mirror, asked_s: float) -> None:
+        peers: list[PeerListing] = []
+        for key, value in mirror.values.items():
+            peer = read_instance(key, value or b"")
+            if isinstance(peer, Failure):
+                self._note_malformed(key, value, peer.reason)
+            else:
+                peers.append(peer)
+        self._ticker.inputs.on_next(PeersListed(peers))
+
+    def _note_malformed(self, key: str, value: bytes | None, reason: str) -> None:
+        """Write one line for each value that cannot be read."""
+        if key in self._malformed and self._malformed[key] == value:
+            return
+        self._malformed[key] = value
+        self._ticker.world.count("malformed_records")
+        LOG.warning("{}: {}", key, reason)
+
+
+def _apply(mirror: Mirror, reading: Reading, is_whole: bool) -> None:
+    if is_whole:
+        mirror.values = {}
+    for item in reading.items:
+        _apply_item(mirror, item)
+    mirror.revision = reading.revision
+
+
+def _apply_item(mirror: Mirror, item: Item) -> None:
+    if item.is_deleted:
+        mirror.values.pop(item.key, None)
+    else:
+        mirror.values[item.key] = item.value
--- /dev/null
+++ b/src/rhubarbspan/edge/instance.py
@@ -0,0 +1,247 @@
+"""One instance on the platform: its world, its ticker and its edges."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import logbook
+
+from ..clock import read_clock_s
+from ..effects import (
+    AbortAttempt,
+    AnswerCaller,
+    Effect,
+    Exit,
+    Level,
+    LogChange,
+    SendPeer,
+    StartAttempt,
+    WriteClaim,
+)
+from ..inputs import StopRequested
+from ..platform.settings import PlatformSettings, read_platform_settings
+from ..platform.store import PlatformStore
+from ..policies import DemandShares, ObjectPlacement, Policies
+from ..verdict import Failure
+from ..world import Identity, create_world
+from .feed import Feed
+from .front import Front
+from .lookups import LookupServer
+from .peers import PeerEdge
+from .registration import Registration
+from .ticker import Ticker
+from .transfer import Transfers
+from .upstream import Upstream
+
+LOG = logbook.Logger("rhubarbspan")
+MS_PER_S = 1000
+HEARTBEAT_INTERVAL_S = 0.5
+DEAD_AFTER_S = 1.6
+# Part of the allowed retries that is used, since instances do not count together.
+RETRY_FRACTION = 0.6
+# Instances that a deployment may have, for dividing what is allowed besides.
+N_INSTANCES = 12
+# How long before the end of the grace period an instance stops serving.
+LEAVE_MARGIN_S = 1.6
+SETTINGS_INTERVAL_S = 1.0
+
+
+def choose_policies(settings: PlatformSettings) -> Policies:
+    """Choose the policies for a deployment."""
+    bounds = settings.bounds
+    return Policies(
+        limits=DemandShares(),
+        choice=ObjectPlacement(),
+        heartbeat_interval_s=HEARTBEAT_INTERVAL_S,
+        dead_after_s=DEAD_AFTER_S,
+        retry_share=RETRY_FRACTION * bounds.retry_ratio,
+        n_max_retries=max(1.0, RETRY_FRACTION * bounds.retry_slack / N_INSTANCES),
+        do_sheds_cost=True,
+        serve_leaving_s=max(0.0, bounds.grace_s - LEAVE_MARGIN_S),
+    )
+
+
+class Instance:
+    """Connects the parts of one instance."""
+
+    __slots__ = (
+        "settings",
+        "world",
+        "ticker",
+        "stopped",
+        "_front",
+        "_upstream",
+        "_peers",
+        "_lookups",
+        "_store",
+        "_feed",
+        "_registration",
+    )
+
+    def __init__(
+        self,
+        settings: PlatformSettings,
+        clock: Callable[[], float] = read_clock_s,
+    ) -> None:
+        self.settings = settings
+        identity = Identity(
+            settings.name,
+            settings.data_centre,
+            settings.region,
+            int(time.time() * MS_PER_S),
+            settings.listen,
+            settings.peer_listen,
+        )
+        policies = choose_policies(settings)
+        seed = int.from_bytes(os.urandom(8))
+        self.world = create_world(identity, clock(), policies, seed)
+        self.ticker = Ticker(self.world, clock)
+        self.stopped = asyncio.Event()
+        transfers = Transfers()
+        self._front = Front(self.ticker, transfers)
+        self._upstream = Upstream(self.ticker, transfers)
+        self._peers = PeerEdge(self.ticker)
+        self._lookups = LookupServer(self.ticker, settings.bounds.lookup_lifetime_s)
+        self._store = PlatformStore(settings.store)
+        self._feed = Feed(self.ticker, self._store, settings)
+        self._registration = Registration(self._store, settings)
+
+    async def start(self) -> Failure | None:
+        """Listen and begin to work.
+
+        Returns:
+            A failure if an address cannot be used.
+        """
+        self.ticker.effects.subscribe(on_next=self._carry_out)
+        settings = self.settings
+        failure = await self._peers.start(settings.peer_listen)
+        if failure is not None:
+            return failure
+        lookups = [settings.ready_listen, settings.lookup_listen]
+        try:
+            await self._lookups.start([address for address in lookups if address])
+            await self._front.start(settings.listen)
+        except OSError as error:
+            return Failure("listen", f"cannot listen: {error.strerror or error}")
+        self.ticker.start()
+        self._feed.start()
+        self._registration.start()
+        LOG.info("{}: listening on {}", settings.name, settings.listen)
+        return None
+
+    def request_stop(self) -> None:
+        """Begin to leave gracefully."""
+        self.ticker.inputs.on_next(StopRequested())
+
+    async def run(self) -> None:
+        """Wait until the instance has left, then close everything."""
+        await self.stopped.wait()
+        await self.close()
+
+    async def close(self) -> None:
+        """Close everything; answers under way are finished first."""
+        await self._front.stop()
+        self.ticker.stop()
+        await self._feed.stop()
+        await self._registration.stop()
+        await self._lookups.stop()
+        await self._peers.stop()
+        await self._upstream.close()
+        await self._store.close()
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case AnswerCaller():
+                self._front.answer(effect)
+            case StartAttempt():
+                self._upstream.start(effect)
+            case AbortAttempt():
+                self._upstream.abort(effect)
+            case SendPeer():
+                self._peers.send(effect)
+            case WriteClaim(request_id=request_id):
+                # The platform's routes ask for no claims.
+                LOG.warning("{}: a claim is not written", request_id)
+            case LogChange(level=Level.WARNING, text=text):
+                LOG.warning("{}: {}", self.settings.name, text)
+            case LogChange(text=text):
+                LOG.info("{}: {}", self.settings.name, text)
+            case Exit():
+                self.stopped.set()
+
+
+async def serve(path: str) -> Failure | None:
+    """Run an instance until it is asked to stop by SIGTERM or SIGINT.
+
+    Args:
+        path: The settings file, which is read again when it changes.
+
+    Returns:
+        A failure with code ``settings`` or ``malformed`` for a bad file, ``listen``
+        for an address that cannot be used.
+    """
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    reload = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, reload.set)
+    settings = _load(path)
+    if isinstance(settings, Failure):
+        return settings
+    instance = Instance(settings)
+    failure = await instance.start()
+    if failure is not None:
+        await instance.close()
+        return failure
+    watcher = asyncio.create_task(_watch_settings(path, settings, reload))
+    stopper = asyncio.create_task(_stop_when_asked(instance, stop))
+    await instance.run()
+    for task in (watcher, stopper):
+        task.cancel()
+    return None
+
+
+def _load(path: str) -> PlatformSettings | Failure:
+    try:
+        text = Path(path).read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        return Failure("settings", f"{path}: {error}")
+    return read_platform_settings(text, path)
+
+
+async def _stop_when_asked(instance: Instance, stop: asyncio.Event) -> None:
+    await stop.wait()
+    instance.request_stop()
+
+
+async def _watch_settings(
+    path: str, settings: PlatformSettings, reload: asyncio.Event
+) -> None:
+    """Read the settings again after a signal or a change; keep the old if bad."""
+    modified = _modified(path)
+    while True:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SETTINGS_INTERVAL_S):
+                await reload.wait()
+        if not reload.is_set() and _modified(path) == modified:
+            continue
+        reload.clear()
+        modified = _modified(path)
+        loaded = _load(path)
+        if isinstance(loaded, Failure):
+            LOG.warning("settings are not taken up: {}", loaded.reason)
+        elif loaded != settings:
+            settings = loaded
+            LOG.info("settings have changed; addresses hold until the next start")
+
+
+def _modified(path: str) -> int:
+    try:
+        return os.stat(path).st_mtime_ns
+    except OSError:
+        return 0
--- /dev/null
+++ b/src/rhubarbspan/edge/lookups.py
@@ -0,0 +1,67 @@
+"""Answers look-ups, questions whether the instance is ready, and metrics."""
+
+from aiohttp import web
+
+from ..report.metrics import render_metrics
+from ..systems.lookup import find_addresses
+from .ticker import Ticker
+
+LOOKUP_PATH = "/api/resolve"
+READY_PATH = "/api/readiness"
+METRICS_PATH = "/metrics"
+# How long callers may use an answer; some keep it three times as long.
+LOOKUP_LIFETIME_S = 2.0
+UNAVAILABLE = 503
+
+
+class LookupServer:
+    """Listens for the platform and for callers' look-ups."""
+
+    __slots__ = ("_ticker", "_runner", "_lifetime_s")
+
+    def __init__(self, ticker: Ticker, max_lifetime_s: float) -> None:
+        self._ticker = ticker
+        self._runner: web.AppRunner | None = None
+        self._lifetime_s = min(LOOKUP_LIFETIME_S, max_lifetime_s)
+
+    async def start(self, addresses: list[str]) -> None:
+        """Listen on some addresses.
+
+        Raises:
+            OSError: If an address cannot be used.
+        """
+        application = web.Application()
+        application.router.add_get(LOOKUP_PATH, self._look_up)
+        application.router.add_get(READY_PATH, self._ready)
+        application.router.add_get(METRICS_PATH, self._metrics)
+        self._runner = web.AppRunner(
+            application, access_log=None, handle_signals=False, shutdown_timeout=0.1
+        )
+        await self._runner.setup()
+        for address in addresses:
+            host, _, port = address.rpartition(":")
+            await web.TCPSite(self._runner, host.strip("[]"), int(port)).start()
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _look_up(self, request: web.Request) -> web.Response:
+        world = self._ticker.world
+        region = request.query.get("region", "")
+        zone = request.query.get("zone", "")
+        addresses = find_addresses(world, region, zone)
+        if not addresses or world.configuration.revision == 0:
+            return web.json_response({"error": "no instance"}, status=UNAVAILABLE)
+        world.count("lookups")
+        return web.json_response({"addresses": addresses, "ttlS": self._lifetime_s})
+
+    async def _ready(self, request: web.Request) -> web.Response:
+        world = self._ticker.world
+        is_ready = world.configuration.revision > 0 and world.departure is None
+        return web.Response(status=200 if is_ready else UNAVAILABLE)
+
+    async def _metrics(self, request: web.Request) -> web.Response:
+        body = render_metrics(self._ticker.world, self._ticker.n_ticks)
+        return web.Response(body=body, content_type="text/plain", charset="utf-8")
--- /dev/null
+++ b/src/rhubarbspan/edge/registration.py
@@ -0,0 +1,63 @@
+"""Keeps the instance's own record in the store, under a lease."""
+
+import asyncio
+
+import logbook
+
+from ..inputs import PeerListing
+from ..platform.records import INSTANCE_PREFIX, write_instance
+from ..platform.settings import PlatformSettings
+from ..platform.store import PlatformStore
+from ..verdict import Failure
+
+LOG = logbook.Logger("rhubarbspan.store")
+# The record of a dead instance stays for this long; peers notice sooner by silence.
+LEASE_S = 4.0
+RENEW_S = 1.3
+
+
+class Registration:
+    """Writes the record, renews its lease, and writes it again if it was lost."""
+
+    __slots__ = ("_store", "_settings", "_task", "_lease")
+
+    def __init__(self, store: PlatformStore, settings: PlatformSettings) -> None:
+        self._store = store
+        self._settings = settings
+        self._task: asyncio.Task[None] | None = None
+        self._lease = 0
+
+    def start(self) -> None:
+        """Begin to keep the record."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Remove the record."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        if self._lease:
+            await self._store.end_lease(self._lease)
+
+    async def _run(self) -> None:
+        while True:
+            failure = await self._keep()
+            if failure is not None:
+                LOG.info("own record: {}", failure.reason)
+                self._lease = 0
+            await asyncio.sleep(RENEW_S)
+
+    async def _keep(self) -> Failure | None:
+        if self._lease:
+            return await self._store.renew_lease(self._lease)
+        lease = await self._store.open_lease(max(LEASE_S, self._settings.lease_min_s))
+        if isinstance(lease, Failure):
+            return lease
+        settings = self._settings
+        record = PeerListing(
+            settings.name, settings.peer_listen, settings.listen, settings.data_centre
+        )
+        key = INSTANCE_PREFIX + settings.name
+        failure = await self._store.put(key, write_instance(record), lease)
+        self._lease = 0 if failure else lease
+        return failure
--- a/src/rhubarbspan/edge/store.py
+++ b/src/rhubarbspan/edge/store.py
@@ -4,7 +4,7 @@
 
 import aiohttp
 
-from ..platform import (
+from ..keyvalue import (
     STORE_DOWN,
     STORE_GARBAGE,
     STORE_UNCLEAR,
--- /dev/null
+++ b/src/rhubarbspan/edge/upstream.py
@@ -0,0 +1,393 @@
+"""Sends attempts to backend servers over kept connections, and reads their answers."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import h11
+import logbook
+
+from ..effects import AbortAttempt, StartAttempt
+from ..inputs import (
+    Aborted,
+    AttemptEnded,
+    Completed,
+    ConnectFailed,
+    ConnectionLost,
+    Misdirected,
+    Outcome,
+    ServerLoad,
+    Shed,
+    TimedOut,
+)
+from ..platform.headers import (
+    MISDIRECTED,
+    AnswerFields,
+    forward_request,
+    read_answer,
+)
+from .channel import Channel
+from .ticker import Ticker
+from .transfer import Answer, Transfer, Transfers
+
+LOG = logbook.Logger("rhubarbspan.upstream")
+# Answers up to this size are read whole before the caller gets the first byte, so
+# that one that is cut can be told from a whole one.
+BUFFERED_ANSWER_BYTES = 1_048_576
+# Several times the longest way between regions and back.
+CONNECT_TIMEOUT_S = 0.45
+# Idle connections are given up before the server closes them; a request that must run
+# at most once goes on one that was in use a moment ago.
+MAX_IDLE_S = 8.0
+MAX_IDLE_ONCE_S = 2.0
+KEEPALIVE_MARGIN_S = 1.0
+N_MAX_IDLE_PER_SERVER = 16
+# Answers to other requests that are skipped on one connection.
+N_MAX_STRAYS = 2
+READ_BYTES = 65_536
+SUCCESS = range(200, 300)
+PROMISES_NOT_RUN = (408, 421, 429, 503)
+
+
+class BadAnswerError(Exception):
+    """The bytes are no whole answer of the server to this request."""
+
+
+@dataclass(slots=True)
+class Connection:
+    """A connection to a server.
+
+    Attributes:
+        used_s: When it was last in use.
+        idle_s: How long it may stay idle.
+    """
+
+    channel: Channel
+    address: str
+    used_s: float
+    idle_s: float = MAX_IDLE_S
+    is_idle: bool = False
+
+
+@dataclass(slots=True)
+class Exchange:
+    """One attempt's bytes on a connection.
+
+    Attributes:
+        parser: State of the protocol.
+        is_sent: Whether any byte may have reached the server.
+    """
+
+    parser: h11.Connection
+    request: h11.Request
+    is_sent: bool = False
+    is_reusable: bool = False
+    n_strays: int = 0
+
+
+@dataclass(slots=True)
+class Idle:
+    """Idle connections by address, latest last."""
+
+    rows: dict[str, list[Connection]] = field(default_factory=dict)
+
+
+class Upstream:
+    """Carries out attempts."""
+
+    __slots__ = ("_ticker", "_transfers", "_idle", "_loop")
+
+    def __init__(self, ticker: Ticker, transfers: Transfers) -> None:
+        self._ticker = ticker
+        self._transfers = transfers
+        self._idle = Idle()
+        self._loop = asyncio.get_running_loop()
+
+    def start(self, effect: StartAttempt) -> None:
+        """Start an attempt in the background."""
+        transfer = self._transfers.rows.get(effect.request_id)
+        if transfer is None:
+            self._report(effect, Aborted())
+            return
+        transfer.attempt_id = effect.attempt_id
+        transfer.answer = None
+        transfer.attempt = asyncio.create_task(self._run(transfer, effect))
+
+    def abort(self, effect: AbortAttempt) -> None:
+        """Cancel an attempt; its connection is closed, not used again."""
+        transfer = self._transfers.rows.get(effect.request_id)
+        if transfer is None or transfer.attempt is None:
+            return
+        if transfer.attempt_id == effect.attempt_id:
+            transfer.attempt.cancel()
+
+    async def close(self) -> None:
+        """Close all idle connections."""
+        for rows in self._idle.rows.values():
+            for connection in rows:
+                connection.channel.abort()
+
+    def _report(self, effect: StartAttempt, outcome: Outcome) -> None:
+        ended = AttemptEnded(effect.request_id, effect.attempt_id, outcome)
+        self._ticker.inputs.on_next(ended)
+
+    async def _run(self, transfer: Transfer, effect: StartAttempt) -> None:
+        try:
+            outcome = await self._attempt(transfer, effect)
+        except asyncio.CancelledError:
+            outcome = Aborted()
+        except Exception:
+            # The request must end whatever went wrong here.
+            LOG.exception("an attempt failed")
+            outcome = ConnectionLost(transfer.is_answer_begun, transfer.is_body_begun)
+        self._report(effect, outcome)
+
+    async def _attempt(self, transfer: Transfer, effect: StartAttempt) -> Outcome:
+        deadline_s = self._loop.time() + effect.timeout_s
+        connection = await self._connect(effect, deadline_s)
+        if connection is None:
+            return ConnectFailed()
+        is_reusable = False
+        try:
+            async with asyncio.timeout_at(deadline_s):
+                outcome, is_reusable = await self._exchange(
+                    transfer, effect, connection, deadline_s
+                )
+                return outcome
+        except TimeoutError:
+            return TimedOut(transfer.is_answer_begun)
+        except (ConnectionError, BadAnswerError, h11.ProtocolError) as error:
+            LOG.debug("{}: {}", effect.server_id, error)
+            return ConnectionLost(transfer.is_answer_begun, transfer.is_body_begun)
+        finally:
+            if is_reusable:
+                self._keep(connection)
+            else:
+                connection.channel.abort()
+
+    async def _connect(
+        self, effect: StartAttempt, deadline_s: float
+    ) -> Connection | None:
+        kept = self._take(effect)
+        if kept is not None:
+            return kept
+        host, _, port = effect.address.rpartition(":")
+        timeout_s = min(CONNECT_TIMEOUT_S, deadline_s - self._loop.time())
+        try:
+            async with asyncio.timeout(timeout_s):
+                _, channel = await self._loop.create_connection(
+                    Channel, host.strip("[]"), int(port)
+                )
+        except (OSError, TimeoutError):
+            return None
+        self._ticker.world.count("connections_opened")
+        return Connection(channel, effect.address, self._loop.time())
+
+    def _take(self, effect: StartAttempt) -> Connection | None:
+        """Take the idle connection that was used last, if it is fresh enough."""
+        rows = self._idle.rows.get(effect.address, [])
+        now_s = self._loop.time()
+        while rows:
+            connection = rows.pop()
+            connection.is_idle = False
+            connection.channel.on_change = None
+            limit_s = connection.idle_s
+            if not effect.is_idempotent:
+                limit_s = min(limit_s, MAX_IDLE_ONCE_S)
+            if now_s - connection.used_s < limit_s and not connection.channel.is_ended:
+                return connection
+            connection.channel.abort()
+        return None
+
+    def _keep(self, connection: Connection) -> None:
+        rows = self._idle.rows.setdefault(connection.address, [])
+        if connection.channel.has_unread or connection.channel.is_ended:
+            connection.channel.abort()
+            return
+        connection.used_s = self._loop.time()
+        connection.is_idle = True
+
+        def drop(channel: Channel) -> None:
+            # Bytes or an end that nobody asked for: the connection is of no use.
+            if connection in rows:
+                rows.remove(connection)
+            channel.on_change = None
+            channel.abort()
+
+        connection.channel.on_change = drop
+        rows.append(connection)
+        if len(rows) > N_MAX_IDLE_PER_SERVER:
+            rows[0].channel.abort()
+
+    async def _exchange(
+        self,
+        transfer: Transfer,
+        effect: StartAttempt,
+        connection: Connection,
+        deadline_s: float,
+    ) -> tuple[Outcome, bool]:
+        channel = connection.channel
+        exchange = _open(transfer, effect, deadline_s - self._loop.time())
+        parser = exchange.parser
+        channel.write(parser.send(exchange.request) or b"")
+        sending: asyncio.Task[None] | None = None
+        if transfer.is_body_whole:
+            if transfer.body:
+                channel.write(parser.send(h11.Data(transfer.body)) or b"")
+            channel.write(parser.send(h11.EndOfMessage()) or b"")
+        else:
+            transfer.is_body_begun = True
+            sending = asyncio.create_task(_send_body(transfer, channel, parser))
+        try:
+            return await self._receive(transfer, effect, connection, exchange)
+        finally:
+            if sending is not None:
+                sending.cancel()
+                await asyncio.gather(sending, return_exceptions=True)
+
+    async def _receive(
+        self,
+        transfer: Transfer,
+        effect: StartAttempt,
+        connection: Connection,
+        exchange: Exchange,
+    ) -> tuple[Outcome, bool]:
+        head, fields = await _read_head(transfer, connection.channel, exchange)
+        if fields.load is not None:
+            self._ticker.inputs.on_next(ServerLoad(effect.server_id, *fields.load))
+        if fields.keep_alive_s > 0:
+            idle_s = max(0.0, fields.keep_alive_s - KEEPALIVE_MARGIN_S)
+            connection.idle_s = min(MAX_IDLE_S, idle_s)
+        is_not_run = fields.is_not_run or head.status_code == MISDIRECTED
+        if not is_not_run:
+            _check(head, fields)
+        body = await self._read_body(transfer, connection.channel, exchange, head)
+        is_reusable = _is_reusable(exchange) and not connection.channel.has_unread
+        if head.status_code == MISDIRECTED:
+            return Misdirected(), is_reusable
+        if is_not_run:
+            if transfer.is_body_begun:
+                # The rest of the body is spent, so nobody else can run it either.
+                return ConnectionLost(False, True), is_reusable
+            return Shed(), is_reusable
+        if not transfer.is_answer_begun:
+            transfer.answer = Answer(head.status_code, list(head.headers), body)
+        return Completed(head.status_code), is_reusable
+
+    async def _read_body(
+        self,
+        transfer: Transfer,
+        channel: Channel,
+        exchange: Exchange,
+        head: h11.Response,
+    ) -> bytes:
+        """Read the body whole, or pass it on in pieces if it is long."""
+        body = bytearray()
+        while True:
+            event = await _next_event(channel, exchange.parser)
+            if isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            if not isinstance(event, h11.Data):
+                raise BadAnswerError("the answer is cut")
+            if transfer.is_answer_begun:
+                await transfer.pass_on(bytes(event.data))
+                continue
+            body += event.data
+            if len(body) > BUFFERED_ANSWER_BYTES:
+                transfer.is_answer_begun = True
+                answer = Answer(head.status_code, list(head.headers), bytes(body))
+                await transfer.begin_answer(answer)
+                body.clear()
+
+
+def _open(transfer: Transfer, effect: StartAttempt, timeout_s: float) -> Exchange:
+    headers = forward_request(
+        transfer.headers, timeout_s, effect.server_id, effect.account
+    )
+    if not transfer.is_body_whole:
+        lengths = [v for n, v in transfer.headers if n == b"content-length"]
+        if lengths:
+            headers.append((b"content-length", lengths[0]))
+        else:
+            headers.append((b"transfer-encoding", b"chunked"))
+    elif transfer.body or transfer.method in (b"POST", b"PUT", b"PATCH"):
+        headers.append((b"content-length", str(len(transfer.body)).encode()))
+    request = h11.Request(
+        method=transfer.method, target=transfer.target, headers=headers
+    )
+    return Exchange(h11.Connection(h11.CLIENT), request)
+
+
+async def _send_body(
+    transfer: Transfer, channel: Channel, parser: h11.Connection
+) -> None:
+    """Send a body while it arrives from the caller."""
+    piece = transfer.body
+    while True:
+        if piece:
+            channel.write(parser.send(h11.Data(piece)) or b"")
+            await channel.drain()
+        piece = await transfer.read_more()
+        if not piece:
+            break
+    channel.write(parser.send(h11.EndOfMessage()) or b"")
+
+
+async def _next_event(channel: Channel, parser: h11.Connection) -> object:
+    while True:
+        event = parser.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        parser.receive_data(await channel.read())
+
+
+async def _read_head(
+    transfer: Transfer, channel: Channel, exchange: Exchange
+) -> tuple[h11.Response, AnswerFields]:
+    """Read the head of the answer to this request; skip answers to others."""
+    while True:
+        event = await _next_event(channel, exchange.parser)
+        if isinstance(event, h11.InformationalResponse):
+            continue
+        if not isinstance(event, h11.Response):
+            raise BadAnswerError("no answer")
+        fields = read_answer(list(event.headers))
+        if fields.caller_request_id in ("", transfer.caller_request_id):
+            return event, fields
+        await _skip_stray(channel, exchange)
+
+
+async def _skip_stray(channel: Channel, exchange: Exchange) -> None:
+    """Read an answer to another request to its end and expect the next one."""
+    exchange.n_strays += 1
+    parser = exchange.parser
+    if exchange.n_strays > N_MAX_STRAYS or parser.our_state is h11.SEND_BODY:
+        raise BadAnswerError("an answer to another request")
+    while not isinstance(event := await _next_event(channel, parser), h11.EndOfMessage):
+        if not isinstance(event, h11.Data):
+            raise BadAnswerError("an answer to another request is cut")
+    rest, is_closed = parser.trailing_data
+    if is_closed or parser.their_state is not h11.DONE:
+        raise BadAnswerError("the connection ends with an answer to another request")
+    exchange.parser = h11.Connection(h11.CLIENT)
+    bare = [(n, v) for n, v in exchange.request.headers if n == b"host"]
+    # Only the parser's state moves on: the request itself was sent before.
+    exchange.parser.send(h11.Request(method=b"GET", target=b"/", headers=bare))
+    exchange.parser.send(h11.EndOfMessage())
+    if rest:
+        exchange.parser.receive_data(rest)
+
+
+def _check(head: h11.Response, fields: AnswerFields) -> None:
+    """Refuse an answer that the server cannot have meant for the caller."""
+    if fields.is_encoded:
+        raise BadAnswerError("the body is encoded")
+    if head.status_code in SUCCESS and not fields.is_signed:
+        raise BadAnswerError("a success without a proof")
+    if head.status_code in PROMISES_NOT_RUN and not fields.is_signed:
+        raise BadAnswerError("a promise that the server did not make")
+
+
+def _is_reusable(exchange: Exchange) -> bool:
+    parser = exchange.parser
+    is_over = parser.our_state is h11.DONE and parser.their_state is h11.DONE
+    return is_over and not parser.trailing_data[0]
--- a/src/rhubarbspan/effects.py
+++ b/src/rhubarbspan/effects.py
@@ -26,6 +26,8 @@
 
     Attributes:
         link: Name of the link that the bytes cross, or an empty string.
+        account: Client account that the request runs for, or an empty string.
+        is_idempotent: Whether the request may run more than once.
     """
 
     request_id: int
@@ -34,6 +36,8 @@
     address: str
     timeout_s: float
     link: str = ""
+    account: str = ""
+    is_idempotent: bool = False
 
 
 @dataclass(slots=True)
--- a/src/rhubarbspan/inputs.py
+++ b/src/rhubarbspan/inputs.py
@@ -24,6 +24,9 @@
         is_replayable: Whether the edge can send the body more than once.
         n_body_bytes: Length of the body, or -1 if it is not known.
         timeout_s: The caller's own timeout, or 0 if it gave none.
+        host: The host that the caller asked for, in lower case.
+        object_key: Names the object that the request concerns, or an empty string.
+        caller_request_id: The caller's own name for the request, for logs.
     """
 
     request_id: int
@@ -34,6 +37,9 @@
     is_replayable: bool = True
     n_body_bytes: int = 0
     timeout_s: float = 0.0
+    host: str = ""
+    object_key: str = ""
+    caller_request_id: str = ""
 
 
 @dataclass(slots=True)
@@ -55,6 +61,11 @@
     """The backend server said that it did not run the request."""
 
 
+@dataclass(frozen=True, slots=True)
+class Misdirected:
+    """Another server has the address now, and did not run the request."""
+
+
 @dataclass(frozen=True, slots=True)
 class ConnectFailed:
     """No connection was made, so no byte was sent."""
@@ -85,7 +96,9 @@
     """The attempt was given up at our own decision or because the caller left."""
 
 
-Outcome = Completed | Shed | ConnectFailed | ConnectionLost | TimedOut | Aborted
+Outcome = (
+    Completed | Shed | Misdirected | ConnectFailed | ConnectionLost | TimedOut | Aborted
+)
 
 
 @dataclass(slots=True)
@@ -99,13 +112,24 @@
 
 @dataclass(slots=True)
 class ServerListing:
-    """One backend server as the platform's list shows it."""
+    """One backend server as the platform's list shows it.
+
+    Attributes:
+        n_slots: Slots by the server's own word, or 0 if the list does not say.
+        incarnation: Start of the server's process in Unix milliseconds, or 0.
+        cold_s: For how long it stays cold.
+        sequence: Number of its newest report.
+    """
 
     server_id: str
     pool: str
     address: str
     data_centre: str
     is_leaving: bool = False
+    n_slots: int = 0
+    incarnation: int = 0
+    cold_s: float = 0.0
+    sequence: int = 0
 
 
 @dataclass(slots=True)
@@ -116,6 +140,33 @@
     servers: list[ServerListing]
 
 
+@dataclass(slots=True)
+class EvacuationsListed:
+    """The data centres whose servers the operator wants to get nothing."""
+
+    data_centres: frozenset[str]
+
+
+@dataclass(slots=True)
+class ServerLoad:
+    """A backend server told its load with an answer.
+
+    Attributes:
+        n_running: Requests that it runs, from all sources.
+        n_waiting: Requests that wait there.
+    """
+
+    server_id: str
+    n_running: int
+    n_waiting: int
+    n_slots: int
+
+
+@dataclass(slots=True)
+class StoreRegained:
+    """The store answers again after an outage."""
+
+
 @dataclass(slots=True)
 class PeerListing:
     """One entry instance as the platform's list shows it."""
@@ -166,18 +217,25 @@
         snapshot: A whole document, or None.
         changes: Consecutive changes, maybe on top of the snapshot.
         is_from_store: Whether the store itself was read.
+        confirmed_s: When the store was asked, or None for the time of arrival.
     """
 
     snapshot: Snapshot | None
     changes: list[Change] = field(default_factory=list)
     is_from_store: bool = False
+    confirmed_s: float | None = None
 
 
 @dataclass(slots=True)
 class StoreContacted:
-    """The store answered that the revision in force is still its newest."""
+    """The store answered that the revision in force is still its newest.
+
+    Attributes:
+        asked_s: When it was asked, or None for the time of arrival.
+    """
 
     revision: int
+    asked_s: float | None = None
 
 
 @dataclass(slots=True)
@@ -233,6 +291,9 @@
     | CallerGone
     | AttemptEnded
     | ServersListed
+    | EvacuationsListed
+    | ServerLoad
+    | StoreRegained
     | PeersListed
     | ServerProbed
     | ProbeFailed
--- a/src/rhubarbspan/peer_messages.py
+++ b/src/rhubarbspan/peer_messages.py
@@ -80,6 +80,7 @@
     loads: list[PoolLoad] = field(default_factory=list)
     demands: list[AccountDemand] = field(default_factory=list)
     suspects: list[SuspectNotice] = field(default_factory=list)
+    data_centre: str = ""
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/src/rhubarbspan/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's names, formats and calls; nothing here decides."""
--- /dev/null
+++ b/src/rhubarbspan/platform/headers.py
@@ -0,0 +1,215 @@
+"""The headers and statuses of the platform's requests and answers."""
+
+import hashlib
+from dataclasses import dataclass
+
+from ..verdict import Answered, MayHaveRun, NotRun, Reason, Verdict
+
+Headers = list[tuple[bytes, bytes]]
+
+REQUEST_ID = b"x-request-id"
+DEADLINE = b"x-deadline-milliseconds"
+CREDENTIAL = b"x-credential"
+# The client account that the key belongs to, told to servers in place of the key.
+ACCOUNT = b"x-tenant-name"
+# The server that must run the request; any other answers 421.
+EXPECTED_SERVER = b"x-expected-instance"
+# Proof that a server, and not this system, made the answer.
+SIGNATURE = b"x-response-signature"
+NOT_RUN = b"x-not-executed"
+LOAD = b"x-server-load"
+AFFINITY_COOKIE = b"x-affinity-key"
+MISDIRECTED = 421
+MS_PER_S = 1000.0
+
+CONNECTION_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+        b"content-length",
+    }
+)
+OWN_HEADERS = frozenset({DEADLINE, CREDENTIAL, ACCOUNT, EXPECTED_SERVER})
+
+NOT_RUN_STATUS = {
+    Reason.UNKNOWN_ROUTE: 404,
+    Reason.BAD_REQUEST: 400,
+    Reason.BAD_KEY: 401,
+    Reason.OVER_RATE: 429,
+}
+MAY_HAVE_RUN_STATUS = {Reason.DEADLINE: 504}
+REFUSED = 503
+UNCERTAIN = 502
+
+
+@dataclass(frozen=True, slots=True)
+class RequestFields:
+    """What the headers of a caller's request say.
+
+    Attributes:
+        host: Host in lower case, without a port.
+        caller_request_id: The caller's own name for the request.
+        key_hash: SHA-256 hash of the caller's key, or an empty string.
+        timeout_s: How long the caller waits, 0 if it does not say, -1 if malformed.
+        object_key: Names the object that the request concerns, or an empty string.
+    """
+
+    host: str
+    caller_request_id: str
+    key_hash: str
+    timeout_s: float
+    object_key: str
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerFields:
+    """What the headers of a server's answer say.
+
+    Attributes:
+        caller_request_id: The request that the answer belongs to, or empty.
+        is_signed: Whether a server's proof is there.
+        is_not_run: Whether the server says that it did not run the request.
+        is_encoded: Whether the body is not the one that the server made.
+        load: Requests that run and wait there, and its slots, or None.
+        keep_alive_s: How long the server keeps an idle connection, or 0.
+    """
+
+    caller_request_id: str
+    is_signed: bool
+    is_not_run: bool
+    is_encoded: bool
+    load: tuple[int, int, int] | None
+    keep_alive_s: float
+
+
+def read_request(headers: Headers) -> RequestFields:
+    """Decode the headers of a caller's request; names are in lower case."""
+    host = request_id = object_key = key_hash = ""
+    timeout_s = 0.0
+    for name, value in headers:
+        if name == b"host":
+            host = value.decode("latin-1").rpartition("@")[2].lower()
+            host = host.partition(":")[0]
+        elif name == REQUEST_ID:
+            request_id = value.decode("latin-1")
+        elif name == DEADLINE:
+            timeout_s = _read_timeout_s(value)
+        elif name == CREDENTIAL:
+            key_hash = hashlib.sha256(value.strip()).hexdigest()
+        elif name == b"cookie":
+            object_key = _read_cookie(value) or object_key
+    return RequestFields(host, request_id, key_hash, timeout_s, object_key)
+
+
+def _read_timeout_s(value: bytes) -> float:
+    try:
+        timeout_s = float(value) / MS_PER_S
+    except ValueError:
+        return -1.0
+    return timeout_s if 0 < timeout_s < float("inf") else -1.0
+
+
+def _read_cookie(value: bytes) -> str:
+    for part in value.split(b";"):
+        name, _, content = part.strip().partition(b"=")
+        if name.lower() == AFFINITY_COOKIE:
+            return content.decode("latin-1")
+    return ""
+
+
+def forward_request(
+    headers: Headers, timeout_s: float, server_id: str, account: str
+) -> Headers:
+    """Build the headers for a server: the caller's, without the key, and our own."""
+    dropped = CONNECTION_HEADERS | OWN_HEADERS | _listed_in_connection(headers)
+    passed = [(name, value) for name, value in headers if name not in dropped]
+    remaining_ms = max(1, int(timeout_s * MS_PER_S))
+    passed.append((DEADLINE, str(remaining_ms).encode()))
+    passed.append((EXPECTED_SERVER, server_id.encode()))
+    if account:
+        passed.append((ACCOUNT, account.encode()))
+    return passed
+
+
+def _listed_in_connection(headers: Headers) -> frozenset[bytes]:
+    """Return the headers that the sender says concern only the connection."""
+    listed = (value for name, value in headers if name == b"connection")
+    return frozenset(
+        part.strip().lower() for value in listed for part in value.split(b",")
+    )
+
+
+def read_answer(headers: Headers) -> AnswerFields:
+    """Decode the headers of a server's answer; names are in lower case."""
+    request_id = ""
+    is_signed = is_not_run = is_encoded = False
+    load: tuple[int, int, int] | None = None
+    keep_alive_s = 0.0
+    for name, value in headers:
+        if name == REQUEST_ID:
+            request_id = value.decode("latin-1")
+        elif name == SIGNATURE:
+            is_signed = bool(value)
+        elif name == NOT_RUN:
+            is_not_run = True
+        elif name == b"content-encoding":
+            is_encoded = value.lower() != b"identity"
+        elif name == LOAD:
+            load = _read_load(value)
+        elif name == b"keep-alive":
+            keep_alive_s = _read_keep_alive_s(value)
+    return AnswerFields(
+        request_id, is_signed, is_not_run, is_encoded, load, keep_alive_s
+    )
+
+
+def _read_load(value: bytes) -> tuple[int, int, int] | None:
+    parts = value.split(b",")
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return running, waiting, slots
+
+
+def _read_keep_alive_s(value: bytes) -> float:
+    for part in value.split(b","):
+        name, _, content = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and content.isdigit():
+            return float(content)
+    return 0.0
+
+
+def answer_headers(headers: Headers) -> Headers:
+    """Keep the headers of an answer that the caller may see."""
+    dropped = CONNECTION_HEADERS | _listed_in_connection(headers)
+    return [(name, value) for name, value in headers if name not in dropped]
+
+
+def refusal(
+    verdict: Verdict, retry_after_s: float, caller_request_id: str
+) -> tuple[int, Headers]:
+    """Return the status and headers of an answer that this system made.
+
+    A status of 408, 421, 429 or 503 promises that the request never runs.
+    """
+    headers: Headers = [(b"content-type", b"text/plain")]
+    if caller_request_id:
+        headers.append((REQUEST_ID, caller_request_id.encode("latin-1")))
+    match verdict:
+        case NotRun(reason=reason):
+            status = NOT_RUN_STATUS.get(reason, REFUSED)
+            if retry_after_s > 0:
+                headers.append((b"retry-after", f"{retry_after_s:.3f}".encode()))
+        case MayHaveRun(reason=reason):
+            status = MAY_HAVE_RUN_STATUS.get(reason, UNCERTAIN)
+        case Answered():
+            status = UNCERTAIN
+    return status, headers
--- /dev/null
+++ b/src/rhubarbspan/platform/manifest.py
@@ -0,0 +1,196 @@
+"""Translates the platform's configuration into a document of our own."""
+
+import hashlib
+from dataclasses import dataclass
+
+import msgspec
+
+from ..document import Document, Section
+from ..verdict import Failure
+
+UNLIMITED = "1000000"
+NAME_CHARACTERS = set("abcdefghijklmnopqrstuvwxyz0123456789-_.")
+MAX_NAME_LENGTH = 64
+KINDS = {"safe": "idempotent", "unsafe": "non_idempotent", "upload": "non_idempotent"}
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Path(msgspec.Struct):
+    prefix: str
+    name: str = ""
+    kind: str = "unsafe"
+    # Bounds the time that a caller is kept waiting.
+    timeoutS: float = 10.0
+    targetLatencyS: float = 1.0
+    priority: int = 0
+    service: str = ""
+    split: list[_Split] = []
+    attempts: int = 1
+    allowAnonymous: bool = False
+    sessionAffinity: bool = False
+    # Regions where the request may be served, not those that are merely preferred.
+    allowedRegions: list[str] = []
+
+
+class _Host(msgspec.Struct):
+    host: str
+    paths: list[_Path] = []
+
+
+class _Service(msgspec.Struct):
+    name: str
+    connectionLimit: int = 350
+    coldStartS: float = 0.0
+    # Requests a second that a cold server bears, not one that is warm.
+    coldPerS: float = 0.0
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    apiKeys: list[str] = []
+    priority: int | None = None
+    # 0 stands for no limit.
+    ratePerS: float = 0.0
+    burst: float = 0.0
+    allowedRegions: list[str] = []
+
+
+class _Limits(msgspec.Struct):
+    headerBytes: int = 16_384
+    bodyBytes: int = 67_108_864
+    headerTimeoutS: float = 10.0
+    idleTimeoutS: float = 60.0
+
+
+class _Manifest(msgspec.Struct):
+    version: int
+    hosts: list[_Host] = []
+    services: list[_Service] = []
+    tenants: list[_Tenant] | None = None
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+_DECODER = msgspec.json.Decoder(_Manifest, strict=False)
+
+
+@dataclass(frozen=True, slots=True)
+class Translated:
+    """A configuration of the platform in our own terms."""
+
+    revision: int
+    document: Document
+
+
+def read_manifest(
+    value: bytes, regions: dict[str, str], max_age_s: float
+) -> Translated | Failure:
+    """Translate what the operator wrote.
+
+    Args:
+        value: Bytes of the item.
+        regions: Region of each data centre.
+        max_age_s: How old the configuration may be for requests that need a key.
+
+    Returns:
+        The document and its revision, or a failure that says what is wrong.
+    """
+    try:
+        manifest = _DECODER.decode(value)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Failure("malformed", f"configuration: {error}")
+    document: Document = {
+        f"data_centre {_name(zone)}": {"region": region, "seats": "0"}
+        for zone, region in regions.items()
+    }
+    for service in manifest.services:
+        document[f"pool {_name(service.name)}"] = _translate_service(service)
+    for tenant in manifest.tenants or []:
+        document[f"client_account {_name(tenant.name)}"] = _translate_tenant(tenant)
+    needs_keys = manifest.tenants is not None
+    for host in manifest.hosts:
+        for path in host.paths:
+            title = _unused(document, f"route {_name(path.name or path.prefix)}")
+            section = _translate_path(host.host, path, needs_keys, max_age_s)
+            document[title] = section
+    document["limits callers"] = _translate_limits(manifest.limits)
+    return Translated(manifest.version, document)
+
+
+def _unused(document: Document, title: str) -> str:
+    number = 2
+    candidate = title
+    while candidate in document:
+        candidate = f"{title}.{number}"
+        number += 1
+    return candidate
+
+
+def _name(text: str) -> str:
+    """Return a name that fits our own tables; others are replaced by their hash."""
+    if 0 < len(text) <= MAX_NAME_LENGTH - 8 and not set(text) - NAME_CHARACTERS:
+        return text
+    return hashlib.sha256(text.encode()).hexdigest()[:32]
+
+
+def _flag(value: bool) -> str:
+    return "yes" if value else "no"
+
+
+def _translate_service(service: _Service) -> Section:
+    section = {
+        "connections_per_server": str(service.connectionLimit),
+        "ramp_s": str(service.coldStartS),
+    }
+    if service.coldPerS > 0:
+        section["cold_rate_per_s"] = str(service.coldPerS)
+    return section
+
+
+def _translate_tenant(tenant: _Tenant) -> Section:
+    hashes = (hashlib.sha256(key.encode()).hexdigest() for key in tenant.apiKeys)
+    has_limit = tenant.ratePerS > 0
+    return {
+        "rate_per_s": str(tenant.ratePerS) if has_limit else UNLIMITED,
+        "burst": str(max(1, int(tenant.burst))) if has_limit else UNLIMITED,
+        "key_hashes": ", ".join(hashes),
+        "priority": str(-1 if tenant.priority is None else tenant.priority),
+        "regions": ", ".join(tenant.allowedRegions),
+    }
+
+
+def _translate_path(
+    host: str, path: _Path, needs_keys: bool, max_age_s: float
+) -> Section:
+    is_open = path.allowAnonymous or not needs_keys
+    parts = [(_name(part.service), part.weight) for part in path.split]
+    section = {
+        "host": host.lower(),
+        "path_prefix": path.prefix,
+        "kind": KINDS.get(path.kind, "non_idempotent"),
+        "open": _flag(is_open),
+        "timeout_s": str(path.timeoutS),
+        "latency_objective_s": str(path.targetLatencyS),
+        "attempts": str(path.attempts),
+        "priority": str(path.priority),
+        "regions": ", ".join(path.allowedRegions),
+        "affinity": _flag(path.sessionAffinity),
+        "pool": parts[0][0] if parts else _name(path.service),
+    }
+    if parts:
+        section["split"] = ", ".join(f"{pool}={weight}" for pool, weight in parts)
+    if not is_open:
+        section["max_config_age_s"] = str(max_age_s)
+    return section
+
+
+def _translate_limits(limits: _Limits) -> Section:
+    return {
+        "head_bytes": str(limits.headerBytes),
+        "body_bytes": str(limits.bodyBytes),
+        "head_timeout_s": str(limits.headerTimeoutS),
+        "idle_timeout_s": str(limits.idleTimeoutS),
+    }
--- /dev/null
+++ b/src/rhubarbspan/platform/records.py
@@ -0,0 +1,103 @@
+"""The records that servers and instances keep in the platform's store."""
+
+from enum import Enum
+
+import msgspec
+
+from ..inputs import PeerListing, ServerListing
+from ..settings import is_ip_and_port
+from ..verdict import Failure
+
+CONFIGURATION_KEY = "op/config"
+OPERATOR_PREFIX = "op/"
+EVACUATION_PREFIX = "op/evacuate/"
+SERVER_PREFIX = "servers/"
+INSTANCE_PREFIX = "rhubarbspan/instances/"
+
+
+class _State(Enum):
+    READY = "ready"
+    DRAINING = "draining"
+
+
+class _Info(msgspec.Struct):
+    service: str
+    zone: str
+    slots: int = 1
+
+
+class _Status(msgspec.Struct):
+    state: _State
+    # How much longer the server stays cold, not since when.
+    coldRemainingS: float = 0.0
+    sequence: int = 0
+
+
+class _ServerRecord(msgspec.Struct):
+    address: str
+    instanceInfo: _Info
+    status: _Status
+    # Unix milliseconds of the start, the same for all records of one incarnation.
+    born: int = 0
+
+
+class _InstanceRecord(msgspec.Struct):
+    address: str
+    peer_address: str
+    data_centre: str
+    is_leaving: bool = False
+
+
+_SERVER_DECODER = msgspec.json.Decoder(_ServerRecord)
+_INSTANCE_DECODER = msgspec.json.Decoder(_InstanceRecord)
+
+
+def read_server(key: str, value: bytes) -> ServerListing | Failure:
+    """Decode the record of a backend server, or say why it names none."""
+    try:
+        record = _SERVER_DECODER.decode(value)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Failure("malformed", f"{key}: {error}")
+    if not is_ip_and_port(record.address):
+        return Failure("malformed", f"{key}: no address")
+    return ServerListing(
+        key.removeprefix(SERVER_PREFIX),
+        record.instanceInfo.service,
+        record.address,
+        record.instanceInfo.zone,
+        record.status.state is _State.DRAINING,
+        n_slots=max(1, record.instanceInfo.slots),
+        incarnation=record.born,
+        cold_s=max(0.0, record.status.coldRemainingS),
+        sequence=record.status.sequence,
+    )
+
+
+def read_evacuated(key: str) -> str:
+    """Return the data centre that a key evacuates, or an empty string."""
+    if not key.startswith(EVACUATION_PREFIX):
+        return ""
+    return key.removeprefix(EVACUATION_PREFIX)
+
+
+def write_instance(peer: PeerListing) -> bytes:
+    """Encode the record of an instance."""
+    record = _InstanceRecord(
+        peer.address, peer.peer_address, peer.data_centre, peer.is_leaving
+    )
+    return msgspec.json.encode(record)
+
+
+def read_instance(key: str, value: bytes) -> PeerListing | Failure:
+    """Decode the record of an instance."""
+    try:
+        record = _INSTANCE_DECODER.decode(value)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Failure("malformed", f"{key}: {error}")
+    return PeerListing(
+        key.removeprefix(INSTANCE_PREFIX),
+        record.peer_address,
+        record.address,
+        record.data_centre,
+        record.is_leaving,
+    )
--- /dev/null
+++ b/src/rhubarbspan/platform/settings.py
@@ -0,0 +1,207 @@
+"""The settings file that the platform lays before a process."""
+
+from dataclasses import dataclass, field
+
+import yaml
+
+from ..settings import is_ip_and_port
+from ..verdict import Failure
+
+PATH_VARIABLE = "RHUBARBSPAN_SETTINGS"
+DEFAULT_PATH = "/etc/rhubarbspan/local.yaml"
+DEFAULT_REPORT_INTERVAL_S = 1.5
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """The times and shares that the deployment promises its users.
+
+    Attributes:
+        leaving_s: How long a leaving server may still get requests.
+        grace_s: How long a process may run after it was asked to stop.
+        revocation_s: After how long a withdrawn key must not work anywhere.
+        evacuation_s: How long an evacuated data centre may still get requests.
+        lookup_lifetime_s: The longest time that callers keep a look-up answer.
+        address_reuse_s: After how long an address may belong to another server.
+        retry_ratio: Repeats allowed for each request, over all instances.
+        retry_slack: Repeats allowed besides, over all instances in a window.
+        cold_overage: Factor on the rate that a cold server bears.
+        cold_slack: Requests allowed to a cold server in a second besides.
+    """
+
+    leaving_s: float = 2.5
+    grace_s: float = 6.0
+    revocation_s: float = 5.0
+    evacuation_s: float = 5.0
+    lookup_lifetime_s: float = 5.0
+    address_reuse_s: float = 2.0
+    retry_ratio: float = 0.2
+    retry_slack: float = 60.0
+    cold_overage: float = 1.5
+    cold_slack: float = 5.0
+
+
+# Names of bounds in the file, with the field that holds each.
+BOUND_FIELDS = {
+    "drainS": "leaving_s",
+    "graceS": "grace_s",
+    "revocationS": "revocation_s",
+    "evacuationS": "evacuation_s",
+    "ttl_max_s": "lookup_lifetime_s",
+    "addressReuseS": "address_reuse_s",
+    "budgetRatio": "retry_ratio",
+    "budgetSlack": "retry_slack",
+    "coldOverage": "cold_overage",
+    "coldSlack": "cold_slack",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """What a process learns from the platform at its start.
+
+    Attributes:
+        name: Name of the machine, unique in the deployment.
+        regions: Region of each data centre.
+        listen: IP number and port for callers.
+        ready_listen: IP number and port for questions whether it is ready.
+        lookup_listen: IP number and port for look-ups, or an empty string.
+        peer_listen: IP number and port for other instances.
+        store: IP number and port of the platform's store.
+        report_interval_s: How often servers report themselves.
+        lease_min_s: The shortest lease that the store gives.
+    """
+
+    name: str
+    data_centre: str
+    region: str
+    regions: dict[str, str]
+    listen: str
+    ready_listen: str
+    lookup_listen: str
+    peer_listen: str
+    store: str
+    report_interval_s: float = DEFAULT_REPORT_INTERVAL_S
+    lease_min_s: float = 1.0
+    bounds: Bounds = field(default_factory=Bounds)
+
+
+@dataclass(slots=True)
+class _Reader:
+    """Reads fields by their path and keeps the first problem."""
+
+    file: str
+    tree: dict[str, object]
+    problem: str = ""
+
+    def find(self, path: str) -> object:
+        value: object = self.tree
+        for part in path.split("."):
+            value = value.get(part) if isinstance(value, dict) else None
+        return value
+
+    def reject(self, path: str, value: object, accepted: str) -> None:
+        shown = "missing" if value is None else repr(value)
+        self.problem = self.problem or f"{path}: {shown}; accepted: {accepted}"
+
+    def text(self, path: str) -> str:
+        value = self.find(path)
+        if isinstance(value, str) and value:
+            return value
+        self.reject(path, value, "a text")
+        return ""
+
+    def address(self, path: str, is_required: bool = True) -> str:
+        value = self.find(path)
+        if value is None and not is_required:
+            return ""
+        if isinstance(value, str) and is_ip_and_port(value):
+            return value
+        self.reject(path, value, "an IP number and port")
+        return ""
+
+    def seconds(self, path: str, default: float) -> float:
+        value = self.find(path)
+        if value is None:
+            return default
+        is_number = isinstance(value, int | float) and not isinstance(value, bool)
+        if is_number and isinstance(value, int | float) and 0 < value < float("inf"):
+            return float(value)
+        self.reject(path, value, "a positive number of seconds")
+        return default
+
+
+def read_platform_settings(text: str, file: str) -> PlatformSettings | Failure:
+    """Parse and check the settings; fields that are not known are left out.
+
+    Returns:
+        The settings, or a failure that names file, field, value and what is accepted,
+        on one line.
+    """
+    try:
+        tree = yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        return Failure("malformed", f"{file}: {' '.join(str(error).split())}")
+    if not isinstance(tree, dict):
+        return Failure("malformed", f"{file}: accepted: a table of fields")
+    reader = _Reader(file, tree)
+    settings = PlatformSettings(
+        reader.text("nodeName"),
+        reader.text("zone"),
+        reader.text("region"),
+        _read_regions(reader),
+        reader.address("listenAddresses.front"),
+        reader.address("listenAddresses.ready"),
+        reader.address("listenAddresses.directory", is_required=False),
+        _read_peer_address(reader),
+        reader.address("platform.address"),
+        reader.seconds("heartbeatS", DEFAULT_REPORT_INTERVAL_S),
+        reader.seconds("platform.ttlMinimumS", 1.0),
+        _read_bounds(reader),
+    )
+    if not reader.problem and settings.data_centre not in settings.regions:
+        reader.reject("zone", settings.data_centre, "one of zones")
+    if reader.problem:
+        return Failure("settings", f"{file}: {reader.problem}")
+    return settings
+
+
+def _read_regions(reader: _Reader) -> dict[str, str]:
+    value = reader.find("zones")
+    if isinstance(value, dict) and value:
+        return {str(zone): str(region) for zone, region in value.items()}
+    reader.reject("zones", value, "a table of zones and their regions")
+    return {}
+
+
+def _read_peer_address(reader: _Reader) -> str:
+    ports = reader.find("internalPortRange")
+    is_range = isinstance(ports, list) and len(ports) == 2
+    if not isinstance(ports, list) or not is_range or not isinstance(ports[0], int):
+        reader.reject("internalPortRange", ports, "a first and a last port")
+        return ""
+    address = f"{reader.text('ipAddress')}:{ports[0]}"
+    if not reader.problem and not is_ip_and_port(address):
+        reader.reject("ipAddress", reader.find("ipAddress"), "an IP number")
+    return address
+
+
+def _read_bounds(reader: _Reader) -> Bounds:
+    listed = reader.find("bounds")
+    if listed is None:
+        return Bounds()
+    lines = listed.split(",") if isinstance(listed, str) else listed
+    if not isinstance(lines, list):
+        reader.reject("bounds", listed, "a list of name=value")
+        return Bounds()
+    found: dict[str, float] = {}
+    for line in lines:
+        name, _, value = str(line).strip().partition("=")
+        target = BOUND_FIELDS.get(name)
+        if target is None:
+            continue
+        try:
+            found[target] = float(value)
+        except ValueError:
+            reader.reject(f"bounds {name}", value, "a number")
+    return Bounds(**found)
--- /dev/null
+++ b/src/rhubarbspan/platform/store.py
@@ -0,0 +1,211 @@
+"""Calls to the platform's store: ranges, watches, transactions and leases."""
+
+import base64
+from dataclasses import dataclass
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+
+from ..keyvalue import STORE_DOWN, STORE_GARBAGE, STORE_UNCLEAR
+from ..verdict import Failure
+
+T = TypeVar("T")
+MS_PER_S = 1000
+# A call that the store does not answer in this time counts as unanswered; the store
+# answers in milliseconds and may be two regions away.
+CALL_TIMEOUT_S = 0.8
+HISTORY_GONE = "history-gone"
+LEASE_GONE = "lease-gone"
+CONFLICT = "conflict"
+HTTP_OK = 200
+NOT_FOUND = 404
+GONE = 410
+PRECONDITION_FAILED = 412
+# Statuses by which the store promises that it did nothing.
+NOT_DONE = (429, 503)
+
+
+class _Item(msgspec.Struct):
+    key: str
+    value: str = ""
+    revision: int = 0
+    tombstone: bool = False
+
+
+class _Range(msgspec.Struct):
+    items: list[_Item] = []
+    # The revision of the whole store, not of the newest item.
+    currentRev: int = 0
+    morePages: bool = False
+
+
+class _Events(msgspec.Struct):
+    events: list[_Item] = []
+    currentRev: int = 0
+
+
+class _Lease(msgspec.Struct):
+    lease: int
+
+
+@dataclass(frozen=True, slots=True)
+class Item:
+    """A key and what it holds.
+
+    Attributes:
+        value: The bytes, or None if the key was deleted or they cannot be decoded.
+        is_deleted: Whether the key is gone.
+    """
+
+    key: str
+    value: bytes | None
+    is_deleted: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """What a range or a watch returned, and the store's revision then."""
+
+    items: list[Item]
+    revision: int
+
+
+def _to_item(item: _Item) -> Item:
+    if item.tombstone:
+        return Item(item.key, None, True)
+    try:
+        return Item(item.key, base64.b64decode(item.value, validate=True))
+    except ValueError:
+        return Item(item.key, None)
+
+
+class PlatformStore:
+    """The one client of the platform's store."""
+
+    __slots__ = ("_base", "_session")
+
+    def __init__(self, address: str) -> None:
+        self._base = f"http://{address}/api"
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=15)
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+    async def read_range(self, prefix: str) -> Reading | Failure:
+        """Read all keys under a prefix; pages are not a snapshot.
+
+        Returns:
+            The items, with the revision before the first page, so that a watch from
+            there misses nothing.
+        """
+        items: list[Item] = []
+        first_revision = 0
+        after = ""
+        while True:
+            query = {"prefix": prefix, **({"after": after} if after else {})}
+            body = await self._call("GET", "kv-range", query)
+            if isinstance(body, Failure):
+                return body
+            page = _decode(body, _Range)
+            if isinstance(page, Failure):
+                return page
+            first_revision = first_revision or page.currentRev
+            items += [_to_item(item) for item in page.items]
+            if not page.morePages or not page.items:
+                return Reading(items, first_revision)
+            after = page.items[-1].key
+
+    async def watch(
+        self, prefix: str, revision: int, wait_s: float
+    ) -> Reading | Failure:
+        """Wait for changes under a prefix after a revision."""
+        query = {
+            "prefix": prefix,
+            "after": str(revision),
+            "waitMs": str(int(wait_s * MS_PER_S)),
+        }
+        body = await self._call("GET", "kv-watch", query, wait_s + CALL_TIMEOUT_S)
+        if isinstance(body, Failure):
+            return body
+        events = _decode(body, _Events)
+        if isinstance(events, Failure):
+            return events
+        items = [_to_item(item) for item in events.events]
+        return Reading(items, max(revision, events.currentRev))
+
+    async def open_lease(self, ttl_s: float) -> int | Failure:
+        """Open a lease; keys that were put under it go when it ends."""
+        body = await self._call("POST", "kv-lease", {}, json={"ttlS_time": ttl_s})
+        if isinstance(body, Failure):
+            return body
+        lease = _decode(body, _Lease)
+        return lease if isinstance(lease, Failure) else lease.lease
+
+    async def renew_lease(self, lease: int) -> Failure | None:
+        """Renew a lease."""
+        body = await self._call("POST", f"kv-keep/{lease}", {})
+        return body if isinstance(body, Failure) else None
+
+    async def end_lease(self, lease: int) -> Failure | None:
+        """End a lease and remove its keys."""
+        body = await self._call("DELETE", f"kv-lease-end/{lease}", {})
+        return body if isinstance(body, Failure) else None
+
+    async def put(self, key: str, value: bytes, lease: int) -> Failure | None:
+        """Write a key under a lease, whatever it held."""
+        text = base64.b64encode(value).decode()
+        put = {"key": key, "value": text, "lease": lease}
+        change = {"expectedRevision": [], "puts": [put], "deletes": []}
+        body = await self._call("POST", "kv-txn", {}, json=change)
+        return body if isinstance(body, Failure) else None
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        timeout_s: float = CALL_TIMEOUT_S,
+        json: object = None,
+    ) -> bytes | Failure:
+        data = None if json is None else msgspec.json.encode(json)
+        headers = {} if data is None else {"Content-Type": "application/json"}
+        try:
+            async with self._session.request(
+                method,
+                f"{self._base}/{path}",
+                params=query,
+                data=data,
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
+            ) as answer:
+                body = await answer.read()
+                return _judge(answer.status, body, path)
+        except aiohttp.ClientConnectorError as error:
+            return Failure(STORE_DOWN, f"{path}: {error.strerror}")
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Failure(STORE_UNCLEAR, f"{path}: {type(error).__name__}")
+
+
+def _judge(status: int, body: bytes, path: str) -> bytes | Failure:
+    if status == HTTP_OK:
+        return body
+    if status in NOT_DONE:
+        return Failure(STORE_DOWN, f"{path}: status {status}")
+    if status == GONE:
+        return Failure(HISTORY_GONE, f"{path}: the history is gone")
+    if status == NOT_FOUND:
+        return Failure(LEASE_GONE, f"{path}: there is no such lease")
+    if status == PRECONDITION_FAILED:
+        return Failure(CONFLICT, f"{path}: the condition does not hold")
+    return Failure(STORE_GARBAGE, f"{path}: status {status}")
+
+
+def _decode(body: bytes, kind: type[T]) -> T | Failure:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Failure(STORE_GARBAGE, str(error))
--- a/src/rhubarbspan/policies.py
+++ b/src/rhubarbspan/policies.py
@@ -18,7 +18,12 @@
     """Each instance admits the whole rate, as if it were alone."""
 
 
-LimitPolicy = PooledShares | StaticShares | Uncoordinated
+@dataclass(frozen=True, slots=True)
+class DemandShares:
+    """Each instance mints a part of the limit by its part of the demand."""
+
+
+LimitPolicy = PooledShares | StaticShares | Uncoordinated | DemandShares
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,7 +46,12 @@
     """The server with the fewest requests of this instance."""
 
 
-ChoicePolicy = OwnedSlots | RandomChoice | TwoChoices | LeastInFlight
+@dataclass(frozen=True, slots=True)
+class ObjectPlacement:
+    """The server that answers soonest, most likely one that knows the object."""
+
+
+ChoicePolicy = OwnedSlots | RandomChoice | TwoChoices | LeastInFlight | ObjectPlacement
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,8 +60,21 @@
 
     Attributes:
         has_tickets: Whether the callers that are measured use tickets.
+        heartbeat_interval_s: How often peers hear of the instance.
+        dead_after_s: After which silence a peer counts as dead.
+        retry_share: Retries earned by each request.
+        n_max_retries: The most retries that may be saved up for a pool.
+        do_sheds_cost: Whether a request that a server shed costs a retry.
+        serve_leaving_s: How long an instance that leaves goes on serving.
     """
 
     limits: LimitPolicy = PooledShares()
     choice: ChoicePolicy = OwnedSlots()
     has_tickets: bool = False
+    heartbeat_interval_s: float = 0.25
+    dead_after_s: float = 0.7
+    retry_share: float = 0.1
+    n_max_retries: float = 20.0
+    do_sheds_cost: bool = False
+    # The lifetime of a look-up answer, and a second for peers to hear of it.
+    serve_leaving_s: float = 4.0
--- a/src/rhubarbspan/publishing.py
+++ b/src/rhubarbspan/publishing.py
@@ -19,7 +19,7 @@
     changes_places,
     compare_documents,
 )
-from .platform import (
+from .keyvalue import (
     STORE_GARBAGE,
     STORE_UNCLEAR,
     Committed,
--- a/src/rhubarbspan/running.py
+++ b/src/rhubarbspan/running.py
@@ -10,6 +10,8 @@
     match arguments.command, getattr(arguments, "action", ""):
         case "entry", _:
             return commands.run_entry
+        case "serve", _:
+            return commands.run_instance
         case "config", "check":
             return commands.check_config
         case "config", "diff":
--- a/src/rhubarbspan/systems/departure.py
+++ b/src/rhubarbspan/systems/departure.py
@@ -3,9 +3,6 @@
 from ..effects import Effects, Exit, Level, LogChange
 from ..inputs import Inbox, StopRequested, Timer
 from ..world import Departure, World
-from .steering import ANSWER_LIFETIME_S
-
-NOTICE_S = 1.0
 
 
 def depart(world: World, now_s: float, inbox: Inbox) -> Effects:
@@ -16,7 +13,7 @@
     """
     effects: Effects = []
     if inbox.of(StopRequested) and world.departure is None:
-        serve_until_s = now_s + NOTICE_S + ANSWER_LIFETIME_S
+        serve_until_s = now_s + world.policies.serve_leaving_s
         world.departure = Departure(now_s, serve_until_s)
         world.deadlines.arm(now_s, Timer.HEARTBEAT, "extra")
         world.deadlines.arm(now_s, Timer.STEERING, "extra")
--- a/src/rhubarbspan/systems/dispatch.py
+++ b/src/rhubarbspan/systems/dispatch.py
@@ -3,7 +3,13 @@
 from ..configuration import Pool
 from ..effects import Effects, StartAttempt
 from ..inputs import Inbox
-from ..policies import LeastInFlight, OwnedSlots, RandomChoice, TwoChoices
+from ..policies import (
+    LeastInFlight,
+    ObjectPlacement,
+    OwnedSlots,
+    RandomChoice,
+    TwoChoices,
+)
 from ..tables.queues import QueueRow
 from ..tables.requests import RequestRow, RequestState
 from ..tables.servers import ServerRow
@@ -12,6 +18,7 @@
 from ..world import World
 from .claim_memory import mark_claim_used
 from .lending import ask_for_slots, return_idle_slots
+from .placement import place_requests
 from .queueing import longest_lane, next_waiting, put_back
 from .refusing import refuse
 from .shifting import choose_shift, link_between, shift_target
@@ -31,6 +38,9 @@
         if pool is None:
             effects += _refuse_all(world, now_s, name)
             continue
+        if isinstance(world.policies.choice, ObjectPlacement):
+            effects += place_requests(world, now_s, pool, queue)
+            continue
         effects += _serve(world, now_s, pool, queue)
         effects += _trim(world, now_s, pool, queue)
         effects += _seek_slots(world, now_s, pool, queue)
@@ -84,7 +94,7 @@
     match world.policies.choice:
         case OwnedSlots():
             return owned_servers(world, pool.name)
-        case RandomChoice() | TwoChoices() | LeastInFlight():
+        case RandomChoice() | TwoChoices() | LeastInFlight() | ObjectPlacement():
             near = world.servers.in_region(pool.name, world.identity.region)
             return [row for row in near if is_available(row, now_s)]
 
@@ -110,7 +120,7 @@
         case TwoChoices():
             pair = world.rng.sample(fit, min(2, len(fit)))
             return min(pair, key=lambda s: len(s.running), default=None)
-        case LeastInFlight():
+        case LeastInFlight() | ObjectPlacement():
             world.rng.shuffle(fit)
             return min(fit, key=lambda s: len(s.running), default=None)
 
@@ -232,7 +242,7 @@
     match world.policies.choice:
         case OwnedSlots():
             pass
-        case RandomChoice() | TwoChoices() | LeastInFlight():
+        case RandomChoice() | TwoChoices() | LeastInFlight() | ObjectPlacement():
             return []
     n_asked = sum(
         ask.n_slots for ask in world.slot_loans.asks.values() if ask.pool == pool.name
--- a/src/rhubarbspan/systems/health.py
+++ b/src/rhubarbspan/systems/health.py
@@ -3,12 +3,15 @@
 from ..configuration import DrainKind
 from ..effects import Effects, Level, LogChange
 from ..inputs import (
+    EvacuationsListed,
     Inbox,
     PeersListed,
     ProbeFailed,
     ServerListing,
+    ServerLoad,
     ServerProbed,
     ServersListed,
+    StoreRegained,
     Timer,
 )
 from ..tables.servers import ServerRow
@@ -18,11 +21,19 @@
 N_LISTINGS_TO_RETURN = 3
 FOREIGN_SMOOTHING = 0.6
 START_GRACE_S = 5.0
+# The platform says that records are written again within two seconds.
+RELIST_GRACE_S = 2.2
 
 
 def watch_servers(world: World, now_s: float, inbox: Inbox) -> Effects:
     """Update the table of backend servers."""
     effects: Effects = []
+    if inbox.of(StoreRegained):
+        world.store_regained_s = now_s
+    for evacuations in inbox.of(EvacuationsListed):
+        effects += _note_evacuations(world, now_s, evacuations)
+    for load in inbox.of(ServerLoad):
+        _note_load(world, now_s, load)
     listings = inbox.of(ServersListed)
     for listed in listings:
         effects += _update_listing(world, now_s, listed)
@@ -48,6 +59,9 @@
     for row in world.servers.of_pool(listed.pool):
         if row.server_id in names:
             continue
+        if now_s - world.store_regained_s < RELIST_GRACE_S:
+            # Records that lapsed during the outage are written again soon.
+            continue
         row.is_listed = False
         row.is_listed_leaving = True
         if not row.running:
@@ -60,9 +74,76 @@
             _add_server(world, now_s, server)
         else:
             effects += _refresh_server(known, server)
+        noted = world.servers.get(server.server_id)
+        if noted is not None:
+            effects += _note_record(world, now_s, noted, server)
+    return effects
+
+
+def _note_record(
+    world: World, now_s: float, row: ServerRow, server: ServerListing
+) -> Effects:
+    """Take over what the server says of itself; a new incarnation knows nothing."""
+    effects: Effects = []
+    if server.incarnation != row.incarnation:
+        if row.incarnation:
+            text = f"backend server {row.server_id} started again"
+            effects.append(LogChange(Level.INFO, text))
+        row.incarnation = server.incarnation
+        row.generation = str(server.incarnation)
+        row.misdirected_incarnation = -1
+        row.is_listed_leaving = server.is_leaving
+        row.sequence = -1
+        row.n_others = 0.0
+        row.failure_rate = 0.0
+        row.ejected_until_s = -1e9
+        world.objects.forget(row.server_id)
+    if row.pool != server.pool or row.data_centre != server.data_centre:
+        world.servers.remove(row)
+        row.pool = server.pool
+        row.data_centre = server.data_centre
+        row.region = world.configuration.region_of(server.data_centre)
+        world.servers.add(row)
+    if server.sequence != row.sequence:
+        row.sequence = server.sequence
+        row.sequence_s = now_s
+        if server.cold_s > 0:
+            row.cold_until_s = max(row.cold_until_s, now_s + server.cold_s)
+    row.n_slots = server.n_slots
+    row.is_evacuated = server.data_centre in world.evacuated
+    return effects
+
+
+def _note_evacuations(world: World, now_s: float, listed: EvacuationsListed) -> Effects:
+    """Stop or resume sending to the servers of data centres."""
+    effects: Effects = []
+    for place in sorted(listed.data_centres ^ world.evacuated):
+        is_out = place in listed.data_centres
+        text = f"data centre {place} is {'evacuated' if is_out else 'taken back'}"
+        effects.append(LogChange(Level.INFO, text))
+    for row in world.servers.rows():
+        is_out = row.data_centre in listed.data_centres
+        if row.is_evacuated and not is_out:
+            # Servers cool down while they get nothing.
+            pool = world.configuration.pools.get(row.pool)
+            row.cold_until_s = now_s + (pool.ramp_s if pool else 0.0)
+            world.objects.forget(row.server_id)
+        row.is_evacuated = is_out
+        world.queues.mark(row.pool)
+    world.evacuated = listed.data_centres
     return effects
 
 
+def _note_load(world: World, now_s: float, load: ServerLoad) -> None:
+    """Learn how many requests of others a server has."""
+    row = world.servers.get(load.server_id)
+    if row is None:
+        return
+    n_all = load.n_running + load.n_waiting
+    row.n_others = max(0.0, float(n_all - len(row.running)))
+    row.others_s = now_s
+
+
 def _add_server(world: World, now_s: float, server: ServerListing) -> None:
     row = ServerRow(
         server.server_id,
--- a/src/rhubarbspan/systems/homes.py
+++ b/src/rhubarbspan/systems/homes.py
@@ -1,11 +1,12 @@
 """Home shares: what each seat owns of the limits, and when it may mint that."""
 
 from ..configuration import ClientAccount, Shift
-from ..policies import PooledShares, StaticShares, Uncoordinated
+from ..policies import DemandShares, PooledShares, StaticShares, Uncoordinated
 from ..tables.buckets import BucketRow, ShareRow
 from ..tables.peers import PeerRow
 from ..world import World
 from .bucketing import capacity, home_share, lender_term_s, mint
+from .parts import demand_part
 
 DELEGATION_TERM_S = 0.9
 # How long an earlier life of the seat may still have its share delegated.
@@ -17,7 +18,7 @@
 
 def sync_buckets(world: World, now_s: float) -> None:
     """Create, change and remove buckets to match the configuration in force."""
-    wanted: dict[str, tuple[float, int]] = {}
+    wanted: dict[str, tuple[float, float]] = {}
     for account in world.configuration.client_accounts.values():
         wanted[account.name] = _own_share(world, account)
     for shift in world.configuration.shifts.values():
@@ -52,10 +53,13 @@
         world.buckets.remove(bucket.account)
 
 
-def _own_share(world: World, account: ClientAccount) -> tuple[float, int]:
+def _own_share(world: World, account: ClientAccount) -> tuple[float, float]:
     match world.policies.limits:
         case Uncoordinated():
             return account.rate_per_s, account.burst
+        case DemandShares():
+            part = demand_part(world, account.name)
+            return account.rate_per_s * part, max(1.0, account.burst * part)
         case PooledShares() | StaticShares():
             return home_share(
                 account.name,
@@ -91,6 +95,17 @@
         mint_at_home(world, now_s, bucket)
 
 
+def follow_demand(world: World, now_s: float) -> None:
+    """Change the parts of the limits to the demand that was advertised last."""
+    for account in world.configuration.client_accounts.values():
+        bucket = world.buckets.get(account.name)
+        if bucket is None:
+            continue
+        mint(bucket, now_s)
+        rate, burst = _own_share(world, account)
+        _set_own_share(world, now_s, bucket, rate, burst)
+
+
 def mint_at_home(world: World, now_s: float, bucket: BucketRow) -> None:
     """Let this instance mint its own share, with its level unchanged."""
     if now_s - world.started_s < STARTUP_S:
--- a/src/rhubarbspan/systems/intake.py
+++ b/src/rhubarbspan/systems/intake.py
@@ -12,12 +12,10 @@
 from ..world import World
 from .queueing import longest_lane, note_pool_arrivals
 from .revisions import config_age_s
+from .routing import choose_part, rank_and_regions
 from .slots import region_slots
 from .suspicion import is_quarantined
 
-RETRY_SHARE = 0.1
-MAX_RETRY_BUDGET = 20.0
-
 
 @dataclass(frozen=True, slots=True)
 class Accepted:
@@ -49,7 +47,10 @@
 def _examine(world: World, now_s: float, arrived: RequestArrived) -> Accepted | NotRun:
     if world.configuration.revision == 0:
         return NotRun(Reason.NOT_READY)
-    route = match_route(world.configuration, arrived.path)
+    departure = world.departure
+    if departure is not None and now_s >= departure.serve_until_s:
+        return NotRun(Reason.NOT_READY)
+    route = match_route(world.configuration, arrived.path, arrived.host)
     if route is None:
         return NotRun(Reason.UNKNOWN_ROUTE)
     max_age_s = route.max_config_age_s
@@ -60,6 +61,7 @@
         account = world.configuration.account_by_key_hash.get(arrived.key_hash, "")
         if not account:
             return NotRun(Reason.BAD_KEY)
+    route = choose_part(world, route)
     is_at_most_once = route.kind is RouteKind.AT_MOST_ONCE
     if is_at_most_once and not arrived.idempotency_key:
         return NotRun(Reason.KEY_MISSING)
@@ -112,6 +114,7 @@
         now_s,
         now_s + timeout_s,
     )
+    row.priority, row.regions = rank_and_regions(world, route, account)
     if not account:
         row.state = RequestState.ADMITTED
     world.requests.add(row)
@@ -119,4 +122,6 @@
     world.deadlines.arm(row.deadline_s, Timer.REQUEST, str(row.request_id))
     queue = world.queues.of(route.pool)
     note_pool_arrivals(queue, now_s, 1)
-    queue.retry_budget = min(MAX_RETRY_BUDGET, queue.retry_budget + RETRY_SHARE)
+    queue.retry_budget = min(
+        world.policies.n_max_retries, queue.retry_budget + world.policies.retry_share
+    )
--- a/src/rhubarbspan/systems/membership.py
+++ b/src/rhubarbspan/systems/membership.py
@@ -9,8 +9,6 @@
 from .revisions import config_age_s
 from .slots import n_free_slots, n_usable_slots, owned_servers
 
-HEARTBEAT_INTERVAL_S = 0.25
-DEAD_AFTER_S = 0.7
 N_DIRECT_PEERS = 16
 MAX_CONFIG_AGE_S = 1e6
 MIN_DEMAND_PER_S = 0.01
@@ -31,7 +29,9 @@
         effects += _find_dead(world, now_s)
         effects += _send_heartbeats(world, now_s)
     if PERIODIC in keys:
-        world.deadlines.arm(now_s + HEARTBEAT_INTERVAL_S, Timer.HEARTBEAT, PERIODIC)
+        world.deadlines.arm(
+            now_s + world.policies.heartbeat_interval_s, Timer.HEARTBEAT, PERIODIC
+        )
     return effects
 
 
@@ -82,7 +82,7 @@
     if heartbeat.seat == world.identity.seat:
         world.count("heartbeats_with_own_seat")
         return []
-    data_centre = heartbeat.seat.rpartition("-")[0]
+    data_centre = heartbeat.data_centre or heartbeat.seat.rpartition("-")[0]
     row = _row_of(world, heartbeat.seat, data_centre)
     if heartbeat.incarnation < row.incarnation:
         return []
@@ -105,7 +105,7 @@
 def _find_dead(world: World, now_s: float) -> Effects:
     effects: Effects = []
     for row in world.peers.alive():
-        if now_s - row.last_heard_s > DEAD_AFTER_S:
+        if now_s - row.last_heard_s > world.policies.dead_after_s:
             row.is_alive = False
             level = Level.INFO if row.is_leaving else Level.WARNING
             state = "has left" if row.is_leaving else "is silent"
@@ -126,6 +126,7 @@
         loads=_describe_loads(world, now_s),
         demands=_describe_demands(world, now_s),
         suspects=_describe_suspects(world),
+        data_centre=me.data_centre,
     )
     return [SendPeer(row.seat, heartbeat) for row in neighbours(world)]
 
--- a/src/rhubarbspan/systems/outcomes.py
+++ b/src/rhubarbspan/systems/outcomes.py
@@ -10,6 +10,7 @@
     ConnectFailed,
     ConnectionLost,
     Inbox,
+    Misdirected,
     Shed,
     TimedOut,
     Timer,
@@ -20,10 +21,10 @@
 from ..world import World
 from .queueing import rejoin_queue
 from .refusing import SERVER_ERROR_STATUS, finish, refuse
+from .serving import note_service
 from .slots import note_shed
 from .suspicion import acquit, is_quarantined, note_end, suspect
 
-MAX_ATTEMPTS = 4
 SERVICE_SMOOTHING = 0.05
 FAILURE_SMOOTHING = 0.2
 EJECT_ABOVE_FAILURE_RATE = 0.5
@@ -68,6 +69,7 @@
     match ended.outcome:
         case Completed(status=status):
             _note_service(world, now_s, row)
+            note_service(world, now_s, row, server, status < SERVER_ERROR_STATUS)
             acquit(world, row)
             effects += _score(world, now_s, server, status >= SERVER_ERROR_STATUS)
             return effects + finish(world, now_s, row, status)
@@ -75,6 +77,10 @@
             if server is not None and not is_borrowed:
                 note_shed(world, now_s, server)
             return effects + _wait_elsewhere(world, now_s, row)
+        case Misdirected():
+            if server is not None:
+                server.misdirected_incarnation = server.incarnation
+            return effects + _wait_elsewhere(world, now_s, row)
         case ConnectFailed():
             effects += _score(world, now_s, server, True)
             verdict = NotRun(Reason.CONNECT_FAILED)
@@ -125,6 +131,13 @@
     if row.n_shed > MAX_SHED or now_s >= row.deadline_s:
         return refuse(world, now_s, row, row.last_verdict)
     world.count("shed", row.route.pool)
+    if world.policies.do_sheds_cost:
+        queue = world.queues.of(row.route.pool)
+        if queue.retry_budget < 1:
+            world.count("retries_refused", row.route.pool)
+            return refuse(world, now_s, row, row.last_verdict)
+        queue.retry_budget -= 1
+        row.tried.add(row.server_id)
     rejoin_queue(world, now_s, row)
     return []
 
@@ -180,7 +193,7 @@
             return refuse(world, now_s, row, NotRun(Reason.QUARANTINED))
         return refuse(world, now_s, row, verdict)
     n_failed = row.n_attempts - row.n_shed
-    is_over = n_failed >= MAX_ATTEMPTS or now_s >= row.deadline_s
+    is_over = n_failed >= row.route.n_max_attempts or now_s >= row.deadline_s
     if is_over or queue.retry_budget < 1:
         world.count("retries_refused", row.route.pool)
         return refuse(world, now_s, row, verdict)
--- /dev/null
+++ b/src/rhubarbspan/systems/parts.py
@@ -0,0 +1,45 @@
+"""Divides a limit by demand: each instance mints its part of what all advertised.
+
+All instances divide the same figures, those that were advertised last, so that their
+parts sum to the whole but for the time that a heartbeat takes.
+"""
+
+from ..world import World
+from .bucketing import smoothed_demand_per_s
+
+# Demand that each instance counts as having at least, so that none has no part.
+MIN_DEMAND_PER_S = 0.3
+# How long the demand of a silent peer still counts; a lease lapses sooner.
+MEMORY_S = 10.0
+
+
+def note_demands(world: World, now_s: float) -> None:
+    """Fix the own demand that parts are computed from until the next heartbeat."""
+    heard = {
+        row.seat
+        for row in world.peers.rows()
+        if row.is_alive or row.is_listed or now_s - row.last_heard_s < MEMORY_S
+    }
+    is_alone = bool(heard) and not any(row.is_alive for row in world.peers.rows())
+    for bucket in world.buckets.rows():
+        own = max(smoothed_demand_per_s(bucket, now_s), MIN_DEMAND_PER_S)
+        others = 0.0
+        for row in world.peers.rows():
+            if row.seat not in heard:
+                continue
+            demand = row.demands.get(bucket.account)
+            unheard = own if row.last_heard_s < 0 else 0.0
+            rate = demand.rate_per_s if demand else unheard
+            others += max(rate, MIN_DEMAND_PER_S)
+        part = own / (own + others)
+        known = world.parts.get(bucket.account)
+        # Without any peer in sight, nobody can tell who else mints.
+        world.parts[bucket.account] = min(part, known) if is_alone and known else part
+
+
+def demand_part(world: World, account: str) -> float:
+    """Return the part of an account's limit that this instance mints."""
+    part = world.parts.get(account)
+    if part is not None:
+        return part
+    return 1.0 / (1 + len(world.peers.rows()))
--- /dev/null
+++ b/src/rhubarbspan/systems/placement.py
@@ -0,0 +1,215 @@
+"""Places requests on the servers that are likely to answer them soonest.
+
+A server that has lately handled a request's object answers it several times faster
+than one that has not, and holds a slot for a shorter time. Requests therefore go to
+the server with the least expected time until the answer, in which a slot that is held
+longer counts as a cost to others. Instances rank the servers of an object in the same
+order without talking (rendezvous hashing), so that they warm up the same ones.
+"""
+
+from dataclasses import dataclass
+
+from ..configuration import Pool
+from ..effects import Effects, StartAttempt
+from ..inputs import Timer
+from ..tables.objects import RankingRow
+from ..tables.queues import QueueRow
+from ..tables.requests import RequestRow, RequestState
+from ..tables.servers import ServerRow
+from ..verdict import NotRun, Reason
+from ..world import World
+from .bucketing import rendezvous_score
+from .queueing import next_waiting, put_back
+from .refusing import refuse
+from .slots import is_available
+from .suspicion import is_quarantined, must_wait, note_start
+
+# Expected cost, in seconds of waiting, of a place further down an object's ranking.
+RANK_COST_S = 0.02
+# Time until the answer that a second in the slot is worth to the requests behind.
+SLOT_WEIGHT = 0.5
+# Cost of crossing a region and a data centre, besides the bytes.
+OTHER_REGION_S = 0.05
+OTHER_PLACE_S = 0.005
+# Cost of a byte that crosses data centres; uploads are what it is for.
+BYTE_S = 1.5e-6
+# Requests beyond the slots that may wait inside a server.
+MAX_WAITING = 3
+# Part of the latency objective for which a request may wait here.
+WAIT_FRACTION = 0.2
+# How long a server's word on its load is worth something.
+LOAD_MEMORY_S = 0.6
+# Times taken for granted until the first answer, as parts of the objective.
+FIRST_WARM = 0.5
+FIRST_COLD = 1.0
+COLD_WINDOW_S = 1.0
+RETRY_AFTER_S = 0.4
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """A server with the expected cost of sending a request there."""
+
+    server: ServerRow
+    cost_s: float
+    is_warm: bool
+
+
+def place_requests(world: World, now_s: float, pool: Pool, queue: QueueRow) -> Effects:
+    """Send each waiting request to its best server, refuse it, or let it wait."""
+    effects: Effects = []
+    waiting: list[RequestRow] = []
+    while (row := next_waiting(world, queue)) is not None:
+        waiting.append(row)
+    waiting.sort(key=lambda row: (row.priority, row.arrived_s))
+    left: list[RequestRow] = []
+    for row in waiting:
+        if is_quarantined(world, now_s, row.fingerprint):
+            verdict = row.last_verdict or NotRun(Reason.QUARANTINED)
+            effects += refuse(world, now_s, row, verdict)
+            continue
+        if must_wait(world, now_s, row):
+            left.append(row)
+            continue
+        place = find_place(world, now_s, pool, row)
+        if place is not None:
+            effects.append(_start(world, now_s, queue, row, place))
+        elif now_s >= _wait_until_s(row):
+            verdict = row.last_verdict or NotRun(Reason.NO_SERVER)
+            retry_s = RETRY_AFTER_S * (0.5 + world.rng.random())
+            effects += refuse(world, now_s, row, verdict, retry_s)
+        else:
+            left.append(row)
+            world.deadlines.arm(_wait_until_s(row), Timer.SERVER, pool.name)
+    for row in reversed(left):
+        put_back(queue, row)
+    return effects
+
+
+def _wait_until_s(row: RequestRow) -> float:
+    return min(
+        row.deadline_s, row.queued_s + WAIT_FRACTION * row.route.latency_objective_s
+    )
+
+
+def find_place(world: World, now_s: float, pool: Pool, row: RequestRow) -> Place | None:
+    """Find the server with the least expected cost, or None if none has room."""
+    best: Place | None = None
+    best_suspect: Place | None = None
+    for rank, server_id in enumerate(_ranking(world, pool.name, row)):
+        server = world.servers.get(server_id)
+        if server is None or server_id in row.tried or server.is_leaving:
+            continue
+        if row.regions is not None and server.region not in row.regions:
+            continue
+        place = _judge(world, now_s, pool, row, server, rank)
+        if place is None:
+            continue
+        if not is_available(server, now_s):
+            if best_suspect is None or place.cost_s < best_suspect.cost_s:
+                best_suspect = place
+        elif best is None or place.cost_s < best.cost_s:
+            best = place
+    return best or best_suspect
+
+
+def _judge(
+    world: World,
+    now_s: float,
+    pool: Pool,
+    row: RequestRow,
+    server: ServerRow,
+    rank: int,
+) -> Place | None:
+    n_slots = server.n_slots or pool.n_slots_per_server
+    n_there = len(server.running) + _n_others(server, now_s)
+    if n_there >= n_slots + MAX_WAITING or server.shed_until_s > now_s:
+        return None
+    factor = 1.0
+    if now_s < server.cold_until_s:
+        if not _may_use_cold(world, now_s, pool, server):
+            return None
+        factor = 2.0
+    service = world.objects.service(row.route.name)
+    objective_s = row.route.latency_objective_s
+    warm_s = service.warm_s or FIRST_WARM * objective_s
+    cold_s = max(warm_s, service.cold_s or FIRST_COLD * objective_s)
+    is_warm = _is_warm(world, row, server)
+    service_s = (warm_s if is_warm else cold_s) * factor
+    n_ahead = max(0.0, n_there + 1 - n_slots)
+    wait_s = n_ahead * warm_s / n_slots
+    cost_s = wait_s + service_s * (1 + SLOT_WEIGHT) + rank * RANK_COST_S
+    cost_s += _distance_s(world, row, server)
+    return Place(server, cost_s, is_warm)
+
+
+def _is_warm(world: World, row: RequestRow, server: ServerRow) -> bool:
+    key = row.arrived.object_key
+    return bool(key) and world.objects.is_warm(server.server_id, key)
+
+
+def _distance_s(world: World, row: RequestRow, server: ServerRow) -> float:
+    me = world.identity
+    if server.data_centre == me.data_centre:
+        return 0.0
+    base = OTHER_PLACE_S if server.region == me.region else OTHER_REGION_S
+    return base + BYTE_S * max(0, row.arrived.n_body_bytes)
+
+
+def _n_others(server: ServerRow, now_s: float) -> float:
+    """Estimate how many requests of others a server has; old words count less."""
+    age_s = now_s - server.others_s
+    return server.n_others * max(0.0, 1.0 - age_s / LOAD_MEMORY_S)
+
+
+def _may_use_cold(world: World, now_s: float, pool: Pool, server: ServerRow) -> bool:
+    """Tell whether a cold server may get one more request from this instance.
+
+    Each instance has an equal part of what the server bears in a second.
+    """
+    server.starts = [s for s in server.starts if s > now_s - COLD_WINDOW_S]
+    n_instances = 1 + sum(peer.is_alive for peer in world.peers.rows())
+    n_allowed = max(1, int(pool.cold_rate_per_s / n_instances))
+    return len(server.starts) < n_allowed
+
+
+def _ranking(world: World, pool: str, row: RequestRow) -> list[str]:
+    """Return the pool's servers in the order of the request's object."""
+    key = row.arrived.object_key or str(row.request_id)
+    known = world.objects.rankings.get((pool, key))
+    if known is not None and known.version == world.servers.version:
+        return known.server_ids
+    rows = world.servers.of_pool(pool)
+    rows.sort(key=lambda server: rendezvous_score(key, server.server_id))
+    ranking = RankingRow(world.servers.version, [server.server_id for server in rows])
+    if row.arrived.object_key:
+        world.objects.rankings[pool, key] = ranking
+    return ranking.server_ids
+
+
+def _start(
+    world: World, now_s: float, queue: QueueRow, row: RequestRow, place: Place
+) -> StartAttempt:
+    server = place.server
+    queue.n_queued -= 1
+    world.requests.move(row, RequestState.RUNNING)
+    row.n_attempts += 1
+    row.server_id = server.server_id
+    row.sent_s = now_s
+    row.was_warm = place.is_warm
+    server.running[row.request_id] = row.n_attempts
+    server.starts.append(now_s)
+    del server.starts[:-16]
+    if row.arrived.object_key:
+        world.objects.note(server.server_id, row.arrived.object_key)
+    note_start(world, row)
+    world.count("attempts", queue.pool)
+    return StartAttempt(
+        row.request_id,
+        row.n_attempts,
+        server.server_id,
+        server.address,
+        max(0.001, row.deadline_s - now_s),
+        account=row.account,
+        is_idempotent=row.route.kind.value == "idempotent",
+    )
--- a/src/rhubarbspan/systems/revisions.py
+++ b/src/rhubarbspan/systems/revisions.py
@@ -21,7 +21,8 @@
     state = world.configuration_state
     for contact in inbox.of(StoreContacted):
         if contact.revision <= state.snapshot.revision:
-            state.confirmed_s = now_s
+            asked_s = now_s if contact.asked_s is None else contact.asked_s
+            state.confirmed_s = max(state.confirmed_s, asked_s)
     for received in inbox.of(PeerReceived):
         match received.message:
             case Heartbeat() as heartbeat:
@@ -86,7 +87,7 @@
     state.snapshot = snapshot
     state.in_force_s = now_s
     if offer.is_from_store:
-        state.confirmed_s = now_s
+        state.confirmed_s = now_s if offer.confirmed_s is None else offer.confirmed_s
     world.configuration = configuration
     world.is_configuration_new = True
     world.count("configuration_changes")
--- /dev/null
+++ b/src/rhubarbspan/systems/serving.py
@@ -0,0 +1,16 @@
+"""Learns from answers: service times, and which servers know which objects."""
+
+from ..tables.requests import RequestRow
+from ..tables.servers import ServerRow
+from ..world import World
+
+
+def note_service(
+    world: World, now_s: float, row: RequestRow, server: ServerRow | None, is_good: bool
+) -> None:
+    """Learn how long a request took, and that the server knows its object now."""
+    if server is None or not is_good:
+        return
+    world.objects.learn(row.route.name, row.was_warm, now_s - row.sent_s)
+    if row.was_warm:
+        world.count("warm", row.route.name)
--- a/src/rhubarbspan/systems/sharing.py
+++ b/src/rhubarbspan/systems/sharing.py
@@ -15,6 +15,7 @@
     TokenGrant,
     TokenRequest,
 )
+from ..policies import DemandShares, PooledShares, StaticShares, Uncoordinated
 from ..world import World
 from .delegations import (
     answer_delegation_request,
@@ -22,7 +23,8 @@
     take_delegation,
     take_share_back,
 )
-from .homes import confirm_seats, note_seats, sync_buckets
+from .homes import confirm_seats, follow_demand, note_seats, sync_buckets
+from .parts import note_demands
 from .token_loans import note_token_request, take_tokens
 
 
@@ -47,7 +49,12 @@
             case TokenGrant() as granted:
                 take_tokens(world, now_s, granted)
     if inbox.due(Timer.HEARTBEAT):
-        effects += renew_delegations(world, now_s)
+        match world.policies.limits:
+            case DemandShares():
+                note_demands(world, now_s)
+                follow_demand(world, now_s)
+            case PooledShares() | StaticShares() | Uncoordinated():
+                effects += renew_delegations(world, now_s)
     return effects
 
 
--- /dev/null
+++ b/src/rhubarbspan/tables/objects.py
@@ -0,0 +1,73 @@
+"""The table of objects that backend servers have handled lately, and service times."""
+
+from dataclasses import dataclass, field
+
+# How many objects one server is expected to keep in memory.
+N_OBJECTS_PER_SERVER = 24
+SMOOTHING = 0.1
+
+
+@dataclass(slots=True)
+class ServiceRow:
+    """Smoothed times that servers take for requests of one route.
+
+    Attributes:
+        warm_s: On servers that have handled the object lately, or 0 if not known.
+        cold_s: On others, or 0 if not known.
+    """
+
+    warm_s: float = 0.0
+    cold_s: float = 0.0
+
+
+@dataclass(slots=True)
+class RankingRow:
+    """Servers of a pool in the order in which an object prefers them.
+
+    Attributes:
+        version: Version of the table of servers that the order was made from.
+    """
+
+    version: int
+    server_ids: list[str]
+
+
+@dataclass(slots=True)
+class Objects:
+    """Objects by server, service times by route, and rankings by object.
+
+    Attributes:
+        handled: For each server, its latest objects in order of use.
+    """
+
+    handled: dict[str, dict[str, None]] = field(default_factory=dict)
+    services: dict[str, ServiceRow] = field(default_factory=dict)
+    rankings: dict[tuple[str, str], RankingRow] = field(default_factory=dict)
+
+    def is_warm(self, server_id: str, key: str) -> bool:
+        """Tell whether a server has handled an object lately."""
+        return key in self.handled.get(server_id, ())
+
+    def note(self, server_id: str, key: str) -> None:
+        """Note that a server handles an object."""
+        latest = self.handled.setdefault(server_id, {})
+        latest.pop(key, None)
+        latest[key] = None
+        while len(latest) > N_OBJECTS_PER_SERVER:
+            del latest[next(iter(latest))]
+
+    def forget(self, server_id: str) -> None:
+        """Forget what a server has handled: it started again or was left alone."""
+        self.handled.pop(server_id, None)
+
+    def service(self, route: str) -> ServiceRow:
+        """Return the service times of a route."""
+        return self.services.setdefault(route, ServiceRow())
+
+    def learn(self, route: str, was_warm: bool, service_s: float) -> None:
+        """Add a measured time."""
+        row = self.service(route)
+        if was_warm:
+            row.warm_s += (service_s - row.warm_s) * (SMOOTHING if row.warm_s else 1.0)
+        else:
+            row.cold_s += (service_s - row.cold_s) * (SMOOTHING if row.cold_s else 1.0)
--- a/src/rhubarbspan/tables/requests.py
+++ b/src/rhubarbspan/tables/requests.py
@@ -35,6 +35,9 @@
         n_shed: How often a server shed it.
         not_before_s: When it may be sent at the earliest.
         last_verdict: The verdict of the latest attempt that failed.
+        priority: Its rank where room is short, 0 being the highest.
+        regions: The regions that may serve it, or None for all regions.
+        was_warm: Whether the server was expected to know the object.
     """
 
     request_id: int
@@ -57,6 +60,9 @@
     last_verdict: NotRun | MayHaveRun | None = None
     not_before_s: float = 0.0
     n_shed: int = 0
+    priority: int = 0
+    regions: frozenset[str] | None = None
+    was_warm: bool = False
 
 
 class Requests:
--- a/src/rhubarbspan/tables/servers.py
+++ b/src/rhubarbspan/tables/servers.py
@@ -25,6 +25,15 @@
         n_lent: Slots lent to other instances.
         n_live_listings: Consecutive listings as live after one as leaving.
         n_recent: Attempts that the smoothed failure rate rests on.
+        n_slots: Slots by its own word, or 0.
+        incarnation: Start of its process in Unix milliseconds, or 0.
+        misdirected_incarnation: The incarnation whose address another server has.
+        cold_until_s: Until when it stays cold by its own word.
+        sequence: Number of its newest report.
+        sequence_s: When that report was first seen.
+        is_evacuated: Whether the operator wants its data centre to get nothing.
+        n_others: Requests there that are not this instance's, at ``others_s``.
+        starts: When this instance sent it requests while it was cold.
     """
 
     server_id: str
@@ -52,19 +61,40 @@
     n_lent: int = 0
     n_live_listings: int = 0
     n_recent: int = 0
+    n_slots: int = 0
+    incarnation: int = 0
+    misdirected_incarnation: int = -1
+    cold_until_s: float = -1e9
+    sequence: int = -1
+    sequence_s: float = -1e9
+    is_evacuated: bool = False
+    n_others: float = 0.0
+    others_s: float = -1e9
+    starts: list[float] = field(default_factory=list)
 
     @property
     def is_leaving(self) -> bool:
         """Whether any sign says that the server must get no new work."""
-        return self.is_listed_leaving or self.is_refusing or self.is_drained
+        return (
+            self.is_listed_leaving
+            or self.is_refusing
+            or self.is_drained
+            or self.is_evacuated
+            or self.misdirected_incarnation == self.incarnation
+        )
 
 
 class Servers:
-    """Backend servers by identifier."""
+    """Backend servers by identifier.
 
-    __slots__ = ("_rows", "_by_pool")
+    Attributes:
+        version: Grows when a server is added or removed.
+    """
+
+    __slots__ = ("_rows", "_by_pool", "version")
 
     def __init__(self) -> None:
+        self.version = 0
         self._rows: dict[str, ServerRow] = {}
         self._by_pool: dict[tuple[str, str], dict[str, ServerRow]] = {}
 
@@ -74,11 +104,13 @@
 
     def add(self, row: ServerRow) -> None:
         """Add a row."""
+        self.version += 1
         self._rows[row.server_id] = row
         self._by_pool.setdefault((row.pool, row.region), {})[row.server_id] = row
 
     def remove(self, row: ServerRow) -> None:
         """Remove a row."""
+        self.version += 1
         del self._rows[row.server_id]
         del self._by_pool[row.pool, row.region][row.server_id]
 
--- a/src/rhubarbspan/wire/consul.py
+++ b/src/rhubarbspan/wire/consul.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from ..inputs import PeerListing, ServerListing
-from ..platform import STORE_GARBAGE, Entry, Operation
+from ..keyvalue import STORE_GARBAGE, Entry, Operation
 from ..verdict import Failure
 
 INDEX_HEADER = "X-Consul-Index"
--- a/src/rhubarbspan/world.py
+++ b/src/rhubarbspan/world.py
@@ -13,6 +13,7 @@
 from .tables.claims import Claims
 from .tables.deadlines import Deadlines
 from .tables.history import History
+from .tables.objects import Objects
 from .tables.peers import Peers
 from .tables.queues import Queues
 from .tables.requests import RequestRow, Requests
@@ -86,6 +87,10 @@
         new_requests: Rows that were added in this tick.
         thirsty: Accounts whose wants or tokens changed in this tick.
         n_sequence: Number of the newest heartbeat.
+        evacuated: Data centres whose servers the operator wants to get nothing.
+        store_regained_s: When the store answered again after its last outage.
+        parts: Part of each account's limit that this instance mints, by demand.
+        n_parts_chosen: Requests by route and pool, of routes that are split.
     """
 
     identity: Identity
@@ -119,6 +124,11 @@
     thirsty: dict[str, None] = field(default_factory=dict)
     n_sequence: int = 0
     n_loans: int = 0
+    objects: Objects = field(default_factory=Objects)
+    evacuated: frozenset[str] = frozenset()
+    store_regained_s: float = -1e9
+    n_parts_chosen: Counter[tuple[str, str]] = field(default_factory=Counter)
+    parts: dict[str, float] = field(default_factory=dict)
 
     def count(self, name: str, label: str = "", n: int = 1) -> None:
         """Add to a counter."""
