Take missing servers for gone unless most records of a pool lapsed

Ruled out: a longer watch; the record was read 0.1 s after the return. Change: records are kept only if more than 0.6 of a pool's are missing. Accounts with a small burst keep a floor of tokens at each instance, out of the allowed slack.

--- a/src/rhubarbspan/edge/instance.py
+++ b/src/rhubarbspan/edge/instance.py
@@ -61,6 +61,7 @@
         retry_share=RETRY_FRACTION * bounds.retry_ratio,
         n_max_retries=max(1.0, RETRY_FRACTION * bounds.retry_slack / N_INSTANCES),
         do_sheds_cost=True,
+        burst_slack=bounds.limit_slack,
         serve_leaving_s=max(0.0, bounds.grace_s - LEAVE_MARGIN_S),
     )
 
--- a/src/rhubarbspan/platform/settings.py
+++ b/src/rhubarbspan/platform/settings.py
@@ -27,6 +27,7 @@
         retry_slack: Repeats allowed besides, over all instances in a window.
         cold_overage: Factor on the rate that a cold server bears.
         cold_slack: Requests allowed to a cold server in a second besides.
+        limit_slack: Requests of an account allowed beyond its limit in a window.
     """
 
     leaving_s: float = 2.5
@@ -39,6 +40,7 @@
     retry_slack: float = 60.0
     cold_overage: float = 1.5
     cold_slack: float = 5.0
+    limit_slack: float = 20.0
 
 
 # Names of bounds in the file, with the field that holds each.
@@ -53,6 +55,7 @@
     "budgetSlack": "retry_slack",
     "coldOverage": "cold_overage",
     "coldSlack": "cold_slack",
+    "quotaSlack": "limit_slack",
 }
 
 
--- a/src/rhubarbspan/policies.py
+++ b/src/rhubarbspan/policies.py
@@ -65,6 +65,8 @@
         retry_share: Retries earned by each request.
         n_max_retries: The most retries that may be saved up for a pool.
         do_sheds_cost: Whether a request that a server shed costs a retry.
+        burst_slack: Requests of an account that may run beyond its rate and burst,
+            over all instances, because instances do not count together.
         serve_leaving_s: How long an instance that leaves goes on serving.
     """
 
@@ -76,5 +78,6 @@
     retry_share: float = 0.1
     n_max_retries: float = 20.0
     do_sheds_cost: bool = False
+    burst_slack: float = 0.0
     # The lifetime of a look-up answer, and a second for peers to hear of it.
     serve_leaving_s: float = 4.0
--- a/src/rhubarbspan/systems/health.py
+++ b/src/rhubarbspan/systems/health.py
@@ -23,6 +23,8 @@
 START_GRACE_S = 5.0
 # The platform says that records are written again within two seconds.
 RELIST_GRACE_S = 2.2
+# Part of a pool's records whose absence tells of an outage of the store.
+LAPSED_FRACTION = 0.6
 
 
 def watch_servers(world: World, now_s: float, inbox: Inbox) -> Effects:
@@ -56,12 +58,11 @@
 def _update_listing(world: World, now_s: float, listed: ServersListed) -> Effects:
     effects: Effects = []
     names = {server.server_id for server in listed.servers}
-    for row in world.servers.of_pool(listed.pool):
-        if row.server_id in names:
-            continue
-        if now_s - world.store_regained_s < RELIST_GRACE_S:
-            # Records that lapsed during the outage are written again soon.
-            continue
+    rows = world.servers.of_pool(listed.pool)
+    missing = [row for row in rows if row.server_id not in names]
+    if _may_return(world, now_s, rows, missing):
+        missing = []
+    for row in missing:
         row.is_listed = False
         row.is_listed_leaving = True
         if not row.running:
@@ -80,6 +81,21 @@
     return effects
 
 
+def _may_return(
+    world: World, now_s: float, rows: list[ServerRow], missing: list[ServerRow]
+) -> bool:
+    """Tell whether records that are missing have lapsed and will be written again.
+
+    After an outage of the store most records may have lapsed. If only a few are
+    missing, this instance alone was cut off from the store, and they are gone.
+    """
+    if now_s - world.store_regained_s >= RELIST_GRACE_S:
+        return False
+    staying = [row for row in rows if not row.is_leaving]
+    n_missing = sum(not row.is_leaving for row in missing)
+    return n_missing > LAPSED_FRACTION * len(staying)
+
+
 def _note_record(
     world: World, now_s: float, row: ServerRow, server: ServerListing
 ) -> Effects:
--- a/src/rhubarbspan/systems/homes.py
+++ b/src/rhubarbspan/systems/homes.py
@@ -59,7 +59,9 @@
             return account.rate_per_s, account.burst
         case DemandShares():
             part = demand_part(world, account.name)
-            return account.rate_per_s * part, max(1.0, account.burst * part)
+            floor = world.policies.burst_slack / (2 + len(world.peers.rows()))
+            burst = max(account.burst * part, min(account.burst, max(1.0, floor)))
+            return account.rate_per_s * part, burst
         case PooledShares() | StaticShares():
             return home_share(
                 account.name,
