Test the platform's protocol at the sockets, with stand-ins for store and servers

Ruled out: a body cut by a reset taken for whole (the stand-in had ended the connection cleanly; it sends a reset now).

--- a/src/rhubarbspan/edge/front.py
+++ b/src/rhubarbspan/edge/front.py
@@ -80,6 +80,9 @@
             return False
         self.is_idle = False
         headers = list(request.headers)
+        if _head_bytes(request) > limits.n_head_bytes:
+            await self._reject(431)
+            return False
         if _is_ambiguous(headers, request.target):
             await self._reject(400)
             return False
@@ -344,6 +347,12 @@
     )
 
 
+def _head_bytes(request: h11.Request) -> int:
+    """Count the bytes of a head; the parser bounds only those that are incomplete."""
+    n_fields = sum(len(name) + len(value) + 4 for name, value in request.headers)
+    return len(request.method) + len(request.target) + n_fields
+
+
 def _length(headers: Headers) -> int:
     for name, value in headers:
         if name == b"content-length":
--- a/src/rhubarbspan/edge/lookups.py
+++ b/src/rhubarbspan/edge/lookups.py
@@ -2,12 +2,11 @@
 
 from aiohttp import web
 
+from ..platform.lookup import LOOKUP_PATH, READY_PATH, read_lookup, write_lookup
 from ..report.metrics import render_metrics
 from ..systems.lookup import find_addresses
 from .ticker import Ticker
 
-LOOKUP_PATH = "/api/resolve"
-READY_PATH = "/api/readiness"
 METRICS_PATH = "/metrics"
 # How long callers may use an answer; some keep it three times as long.
 LOOKUP_LIFETIME_S = 2.0
@@ -49,13 +48,12 @@
 
     async def _look_up(self, request: web.Request) -> web.Response:
         world = self._ticker.world
-        region = request.query.get("region", "")
-        zone = request.query.get("zone", "")
-        addresses = find_addresses(world, region, zone)
+        region, place = read_lookup(request.query)
+        addresses = find_addresses(world, region, place)
         if not addresses or world.configuration.revision == 0:
             return web.json_response({"error": "no instance"}, status=UNAVAILABLE)
         world.count("lookups")
-        return web.json_response({"addresses": addresses, "ttlS": self._lifetime_s})
+        return web.json_response(write_lookup(addresses, self._lifetime_s))
 
     async def _ready(self, request: web.Request) -> web.Response:
         world = self._ticker.world
--- /dev/null
+++ b/src/rhubarbspan/platform/lookup.py
@@ -0,0 +1,16 @@
+"""The platform's calls to an instance: look-ups and whether it is ready."""
+
+from collections.abc import Mapping
+
+LOOKUP_PATH = "/api/resolve"
+READY_PATH = "/api/readiness"
+
+
+def read_lookup(query: Mapping[str, str]) -> tuple[str, str]:
+    """Return the region and the data centre of the caller that asks."""
+    return query.get("region", ""), query.get("zone", "")
+
+
+def write_lookup(addresses: list[str], lifetime_s: float) -> dict[str, object]:
+    """Build the answer to a look-up."""
+    return {"addresses": addresses, "ttlS": lifetime_s}
--- /dev/null
+++ b/src/rhubarbspan/standins/platform_server.py
@@ -0,0 +1,225 @@
+"""A stand-in for a backend server on the platform, with its faults."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import Enum
+
+import h11
+
+READ_BYTES = 65_536
+
+
+class Fault(Enum):
+    """What is wrong with an answer."""
+
+    NONE = "none"
+    SHED = "shed"
+    MISDIRECTED = "misdirected"
+    ERROR = "error"
+    WRONG_ID = "wrong-id"
+    STRAY_FIRST = "stray-first"
+    EXTRA = "extra"
+    CUT = "cut"
+    UNFRAMED = "unframed"
+    UNFRAMED_RESET = "unframed-reset"
+    UNSIGNED = "unsigned"
+    ENCODED = "encoded"
+    GARBAGE = "garbage"
+    LOST = "lost"
+    SILENT = "silent"
+    EARLY = "early"
+
+
+@dataclass(slots=True)
+class PlatformServerStandIn:
+    """A server that runs requests and counts what it ran.
+
+    Attributes:
+        faults: Faults of the next answers, in order; none when used up.
+        service_s: Time that each request takes.
+        runs: Runs by the request's id.
+        requests: Method, target, headers and body of what was run.
+        n_cancelled: Requests whose connection closed while they ran.
+    """
+
+    server_id: str
+    address: str = ""
+    faults: list[Fault] = field(default_factory=list)
+    service_s: float = 0.0
+    answer_bytes: int = 40
+    runs: Counter[str] = field(default_factory=Counter)
+    requests: list[tuple[bytes, bytes, dict[bytes, bytes], bytes]] = field(
+        default_factory=list
+    )
+    n_connections: int = 0
+    n_cancelled: int = 0
+    n_running: int = 0
+    server: asyncio.Server | None = None
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    async def start(self) -> None:
+        """Listen on loopback."""
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Stop listening and cut all connections."""
+        if self.server is not None:
+            self.server.close()
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        if task is not None:
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        self.n_connections += 1
+        parser = h11.Connection(h11.SERVER)
+        with contextlib.suppress(ConnectionError, h11.ProtocolError):
+            while await self._answer(reader, writer, parser):
+                parser.start_next_cycle()
+        writer.close()
+
+    async def _answer(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        parser: h11.Connection,
+    ) -> bool:
+        request = await _next_event(reader, parser)
+        if not isinstance(request, h11.Request):
+            return False
+        headers = dict(request.headers)
+        request_id = headers.get(b"x-request-id", b"").decode()
+        fault = self.faults.pop(0) if self.faults else Fault.NONE
+        if fault is Fault.EARLY:
+            writer.write(self._plain(request_id, b"early"))
+        body = b""
+        while isinstance(event := await _next_event(reader, parser), h11.Data):
+            body += event.data
+        if fault in (Fault.SHED, Fault.MISDIRECTED):
+            writer.write(_not_run(fault, request_id, self.server_id))
+            return _pretend(parser)
+        self.runs[request_id] += 1
+        self.requests.append((request.method, request.target, headers, body))
+        if not await self._work(reader):
+            return False
+        return await self._send(writer, parser, fault, request_id)
+
+    async def _work(self, reader: asyncio.StreamReader) -> bool:
+        """Take the service time; tell whether the caller is still there."""
+        self.n_running += 1
+        try:
+            if self.service_s:
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(reader.read(1), self.service_s)
+                    self.n_cancelled += 1
+                    return False
+            return True
+        finally:
+            self.n_running -= 1
+
+    async def _send(
+        self,
+        writer: asyncio.StreamWriter,
+        parser: h11.Connection,
+        fault: Fault,
+        request_id: str,
+    ) -> bool:
+        body = f"{self.server_id}:{request_id}:".encode().ljust(self.answer_bytes, b".")
+        plain = self._plain(request_id, body)
+        match fault:
+            case Fault.NONE | Fault.SHED | Fault.MISDIRECTED:
+                writer.write(plain)
+            case Fault.EARLY:
+                pass
+            case Fault.ERROR:
+                writer.write(plain.replace(b"200 OK", b"500 Internal Server Error", 1))
+            case Fault.WRONG_ID:
+                writer.write(self._plain("other", b"not yours"))
+            case Fault.STRAY_FIRST:
+                writer.write(self._plain("other", b"not yours") + plain)
+            case Fault.EXTRA:
+                writer.write(plain + self._plain("other", b"not yours"))
+            case Fault.CUT:
+                writer.write(plain[:-5])
+                await writer.drain()
+                return False
+            case Fault.UNFRAMED | Fault.UNFRAMED_RESET:
+                return await _send_unframed(writer, plain, body, fault)
+            case Fault.UNSIGNED:
+                writer.write(plain.replace(b"X-Response-Signature", b"X-Other", 1))
+            case Fault.ENCODED:
+                head = b"HTTP/1.1 200 OK\r\nContent-Encoding: gzip"
+                writer.write(plain.replace(b"HTTP/1.1 200 OK", head, 1))
+            case Fault.GARBAGE:
+                writer.write(b"\x00\x01garbage\r\n\r\n")
+            case Fault.LOST:
+                _reset(writer)
+                return False
+            case Fault.SILENT:
+                await asyncio.sleep(3600)
+        await writer.drain()
+        return _pretend(parser)
+
+    def _plain(self, request_id: str, body: bytes) -> bytes:
+        head = (
+            "HTTP/1.1 200 OK\r\n"
+            f"X-Request-Id: {request_id}\r\n"
+            f"X-Response-Signature: sig.{self.server_id}.{request_id}\r\n"
+            "X-Server-Load: 1,0,3\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        return head.encode() + body
+
+
+async def _send_unframed(
+    writer: asyncio.StreamWriter, plain: bytes, body: bytes, fault: Fault
+) -> bool:
+    """Send a body without a length, which ends with the connection."""
+    length = f"Content-Length: {len(body)}\r\n".encode()
+    writer.write(plain.replace(length, b"Connection: close\r\n", 1))
+    await writer.drain()
+    if fault is Fault.UNFRAMED_RESET:
+        await asyncio.sleep(0.05)
+        _reset(writer)
+    return False
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a reset instead of a clean end."""
+    raw = writer.get_extra_info("socket")
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+def _not_run(fault: Fault, request_id: str, server_id: str) -> bytes:
+    status = "503 Service Unavailable" if fault is Fault.SHED else "421 Misdirected"
+    return (
+        f"HTTP/1.1 {status}\r\nX-Request-Id: {request_id}\r\nX-Not-Executed: 1\r\n"
+        f"X-Instance-Id: {server_id}\r\nContent-Length: 0\r\n\r\n"
+    ).encode()
+
+
+def _pretend(parser: h11.Connection) -> bool:
+    """Move the parser on as if it had made the answer that was written by hand."""
+    parser.send(h11.Response(status_code=200, headers=[(b"content-length", b"0")]))
+    parser.send(h11.EndOfMessage())
+    return parser.our_state is h11.DONE and parser.their_state is h11.DONE
+
+
+async def _next_event(reader: asyncio.StreamReader, parser: h11.Connection) -> object:
+    while True:
+        event = parser.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        parser.receive_data(await reader.read(READ_BYTES))
--- /dev/null
+++ b/src/rhubarbspan/standins/platform_store.py
@@ -0,0 +1,216 @@
+"""A stand-in for the platform's store: items, watches, transactions and leases."""
+
+import asyncio
+import base64
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from aiohttp import web
+
+from .listening import listen
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+MS_PER_S = 1000
+PAGE_ITEMS = 50
+
+
+class Mode(Enum):
+    """How the store treats calls."""
+
+    SERVING = "serving"
+    SILENT = "silent"
+    BUSY = "busy"
+
+
+@dataclass(slots=True)
+class StoredItem:
+    """What a key holds, or that it was deleted."""
+
+    key: str
+    value: bytes
+    revision: int
+    lease: int = 0
+    is_deleted: bool = False
+
+
+@dataclass(slots=True)
+class PlatformStoreStandIn:
+    """A store in memory.
+
+    Attributes:
+        mode: How calls are treated.
+        loses_answers: Whether writes are done and not answered.
+        first_revision: Oldest revision whose change is still known.
+        n_calls: Calls by path.
+    """
+
+    address: str = ""
+    mode: Mode = Mode.SERVING
+    loses_answers: bool = False
+    revision: int = 10
+    first_revision: int = 0
+    items: dict[str, StoredItem] = field(default_factory=dict)
+    history: list[StoredItem] = field(default_factory=list)
+    leases: dict[int, asyncio.TimerHandle] = field(default_factory=dict)
+    ttls_s: dict[int, float] = field(default_factory=dict)
+    n_calls: dict[str, int] = field(default_factory=dict)
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+    runner: web.AppRunner | None = None
+
+    async def start(self, port: int = 0) -> None:
+        """Listen on loopback."""
+        application = web.Application(middlewares=[self._treat])
+        router = application.router
+        router.add_get("/api/kv-range", self._range)
+        router.add_get("/api/kv-watch", self._watch)
+        router.add_post("/api/kv-txn", self._transact)
+        router.add_post("/api/kv-lease", self._open_lease)
+        router.add_post("/api/kv-keep/{lease}", self._keep_lease)
+        router.add_delete("/api/kv-lease-end/{lease}", self._end_lease)
+        self.runner, self.address = await listen(application, "127.0.0.1", port)
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+    def put(self, key: str, value: object, lease: int = 0) -> None:
+        """Write a key; bytes as they are, anything else as JSON."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self._change(StoredItem(key, data, 0, lease))
+
+    def delete(self, key: str) -> None:
+        """Delete a key."""
+        self._change(StoredItem(key, b"", 0, is_deleted=True))
+
+    def forget_history(self) -> None:
+        """Drop all changes so far, and cut the watches that wait."""
+        self.history.clear()
+        self.first_revision = self.revision
+        self._notify()
+
+    def _change(self, item: StoredItem) -> None:
+        self.revision += 1
+        item.revision = self.revision
+        self.history.append(item)
+        if item.is_deleted:
+            self.items.pop(item.key, None)
+        else:
+            self.items[item.key] = item
+        self._notify()
+
+    def _notify(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    @web.middleware
+    async def _treat(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        path = request.path.split("/")[2]
+        self.n_calls[path] = self.n_calls.get(path, 0) + 1
+        match self.mode:
+            case Mode.BUSY:
+                return web.Response(status=503)
+            case Mode.SILENT:
+                await asyncio.sleep(3600)
+            case Mode.SERVING:
+                pass
+        answer = await handler(request)
+        if self.loses_answers and request.method == "POST":
+            await asyncio.sleep(3600)
+        return answer
+
+    async def _range(self, request: web.Request) -> web.Response:
+        prefix = request.query["prefix"]
+        after = request.query.get("after", "")
+        keys = [k for k in sorted(self.items) if k.startswith(prefix) and k > after]
+        page = [_describe(self.items[key]) for key in keys[:PAGE_ITEMS]]
+        is_more = len(keys) > PAGE_ITEMS
+        return web.json_response(
+            {"items": page, "morePages": is_more, "currentRev": self.revision}
+        )
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        prefix = request.query["prefix"]
+        after = int(request.query["after"])
+        wait_s = int(request.query["waitMs"]) / MS_PER_S
+        end_s = asyncio.get_running_loop().time() + wait_s
+        while True:
+            if after < self.first_revision:
+                return web.Response(status=410)
+            events = [
+                _describe(item)
+                for item in self.history
+                if item.revision > after and item.key.startswith(prefix)
+            ]
+            left_s = end_s - asyncio.get_running_loop().time()
+            if events or left_s <= 0:
+                return web.json_response(
+                    {"events": events, "currentRev": self.revision}
+                )
+            try:
+                await asyncio.wait_for(self.changed.wait(), left_s)
+            except TimeoutError:
+                continue
+
+    async def _transact(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        for row in body["expectedRevision"]:
+            item = self.items.get(row["key"])
+            if (item.revision if item else 0) != row["revision"]:
+                return web.json_response({"items": []}, status=412)
+        if any(p.get("lease") and p["lease"] not in self.leases for p in body["puts"]):
+            return web.Response(status=404)
+        for put in body["puts"]:
+            self.put(put["key"], base64.b64decode(put["value"]), put.get("lease", 0))
+        for key in body["deletes"]:
+            self.delete(key)
+        return web.json_response({"revision": self.revision})
+
+    async def _open_lease(self, request: web.Request) -> web.Response:
+        ttl_s = float((await request.json())["ttlS_time"])
+        lease = self.revision * 1000 + len(self.ttls_s) + 1
+        self.ttls_s[lease] = ttl_s
+        self._arm(lease)
+        return web.json_response({"lease": lease, "ttlS_time": ttl_s})
+
+    async def _keep_lease(self, request: web.Request) -> web.Response:
+        lease = int(request.match_info["lease"])
+        if lease not in self.leases:
+            return web.Response(status=404)
+        self._arm(lease)
+        return web.json_response({"ttlS_time": self.ttls_s[lease]})
+
+    async def _end_lease(self, request: web.Request) -> web.Response:
+        self.lapse(int(request.match_info["lease"]))
+        return web.json_response({})
+
+    def _arm(self, lease: int) -> None:
+        known = self.leases.get(lease)
+        if known is not None:
+            known.cancel()
+        loop = asyncio.get_running_loop()
+        self.leases[lease] = loop.call_later(self.ttls_s[lease], self.lapse, lease)
+
+    def lapse(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+        timer = self.leases.pop(lease, None)
+        if timer is not None:
+            timer.cancel()
+        for key in [k for k, item in self.items.items() if item.lease == lease]:
+            self.delete(key)
+
+
+def _describe(item: StoredItem) -> dict[str, object]:
+    if item.is_deleted:
+        return {"key": item.key, "revision": item.revision, "tombstone": True}
+    return {
+        "key": item.key,
+        "value": base64.b64encode(item.value).decode(),
+        "revision": item.revision,
+        "created": item.revision,
+        "lease": item.lease,
+    }
--- /dev/null
+++ b/tests/test_platform_edge.py
@@ -0,0 +1,468 @@
+"""The platform's protocol at the sockets: one request in, its own answer out."""
+
+import asyncio
+import contextlib
+from collections.abc import Iterator
+
+import pytest
+
+from platform_site import (
+    KEY,
+    PlatformSite,
+    Reply,
+    manifest,
+    read_reply,
+    record,
+    request_bytes,
+)
+from rhubarbspan.standins.platform_server import Fault
+from rhubarbspan.standins.platform_store import Mode
+
+GARBLED = [
+    Fault.WRONG_ID,
+    Fault.CUT,
+    Fault.UNFRAMED_RESET,
+    Fault.UNSIGNED,
+    Fault.ENCODED,
+    Fault.GARBAGE,
+    Fault.LOST,
+]
+
+
+@pytest.fixture
+def site() -> Iterator[PlatformSite]:
+    """Return a running deployment with one instance and two servers."""
+    loop = asyncio.new_event_loop()
+    running = PlatformSite(loop)
+    loop.run_until_complete(running.start())
+    running.wait_for(lambda: _is_serving(running), "the instance serves")
+    yield running
+    loop.run_until_complete(running.stop())
+    loop.close()
+
+
+def _is_serving(site: PlatformSite) -> bool:
+    world = site.instances[0].world
+    bucket = world.buckets.get("ana")
+    has_tokens = bucket is not None and bucket.n_tokens > 100
+    return bool(world.configuration.revision and world.servers.rows() and has_tokens)
+
+
+def _set_faults(site: PlatformSite, *faults: Fault) -> None:
+    for server in site.servers:
+        server.faults = list(faults)
+
+
+def _runs(site: PlatformSite, request_id: str) -> int:
+    return sum(server.runs[request_id] for server in site.servers)
+
+
+def _assert_own(reply: Reply, target: str) -> None:
+    assert reply.status == 200
+    assert f":id-{target}:".encode() in reply.body
+    assert reply.headers["x-response-signature"].endswith(f"id-{target}")
+
+
+def test_request_reaches_a_server_unchanged_without_its_key(site: PlatformSite) -> None:
+    target = "/order/a%2Fb//c?x=%20&y=1"
+    reply = site.send(target, "POST", b"body bytes", Cookie="X-Affinity-Key=17")
+    _assert_own(reply, target)
+    (request,) = [r for server in site.servers for r in server.requests]
+    method, seen_target, headers, body = request
+    assert (method, seen_target, body) == (b"POST", target.encode(), b"body bytes")
+    assert b"x-credential" not in headers
+    assert KEY.encode() not in b"".join(headers.values())
+    assert headers[b"x-tenant-name"] == b"ana"
+    assert headers[b"x-expected-instance"] in (b"i-0", b"i-1")
+    assert 0 < int(headers[b"x-deadline-milliseconds"]) <= 2000
+
+
+@pytest.mark.parametrize(
+    ("target", "headers", "status"),
+    [
+        ("/none/x", {}, 404),
+        ("/look", {}, 404),
+        ("/look/x", {"Host": "else.example"}, 404),
+        ("/look/x", {"X_Credential": "wrong"}, 401),
+        ("/look/x", {"X_Credential": ""}, 401),
+        ("/look/x", {"X_Deadline_Milliseconds": "soon"}, 400),
+        ("/look/x", {"Host": ""}, 400),
+        ("/look/x", {"X_Long": "x" * 5000}, 431),
+    ],
+)
+def test_bad_requests_get_a_clear_status_and_run_nowhere(
+    site: PlatformSite, target: str, headers: dict[str, str], status: int
+) -> None:
+    assert site.send(target, **headers).status == status
+    assert not any(server.requests for server in site.servers)
+    _assert_own(site.send("/look/after"), "/look/after")
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        "Content-Length: 3\r\nTransfer-Encoding: chunked",
+        "Content-Length: 3\r\nContent-Length: 4",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+        "Host: shop.example\r\nHost: other.example",
+        "Content-Length : 3",
+        "Content-Length: -1",
+        "Bad Name: x",
+    ],
+)
+def test_ambiguous_framing_is_refused(site: PlatformSite, lines: str) -> None:
+    async def work() -> Reply:
+        reader, writer = await site.connect()
+        host = "" if "Host" in lines else "Host: shop.example\r\n"
+        head = f"POST /open/x HTTP/1.1\r\n{host}{lines}\r\n\r\n"
+        writer.write(head.encode() + b"0\r\n\r\nGET /open/y HTTP/1.1\r\n\r\n")
+        reply = await read_reply(reader)
+        assert await reader.read() == b""
+        return reply
+
+    # 501 is for a coding that the parser does not know.
+    assert site.run(work()).status in (400, 501)
+    assert not any(server.requests for server in site.servers)
+
+
+@pytest.mark.parametrize("fault", GARBLED)
+def test_garbled_answer_to_an_order_is_uncertain_and_never_passed_on(
+    site: PlatformSite, fault: Fault
+) -> None:
+    _set_faults(site, fault)
+    # An answer that belongs to another request leaves the own one to wait for.
+    reply = site.send("/order/x", "POST", b"b", X_Deadline_Milliseconds="400")
+    assert reply.status in (502, 504)
+    assert "x-response-signature" not in reply.headers
+    assert _runs(site, "id-/order/x") == 1
+    _set_faults(site)
+    for number in range(6):
+        _assert_own(site.send(f"/look/{number}"), f"/look/{number}")
+
+
+# After an answer that belongs to another request the own one may still come.
+@pytest.mark.parametrize("fault", [f for f in GARBLED if f is not Fault.WRONG_ID])
+def test_garbled_answer_to_a_lookup_is_repeated_elsewhere(
+    site: PlatformSite, fault: Fault
+) -> None:
+    site.instances[0].world.queues.of("shop").retry_budget = 5.0
+    site.servers[0].faults = [fault]
+    site.servers[1].faults = [fault]
+    replies = [site.send(f"/look/{number}") for number in range(4)]
+    assert [reply.status for reply in replies].count(200) >= 3
+
+
+def test_stray_answers_are_skipped_and_surplus_ones_dropped(site: PlatformSite) -> None:
+    _set_faults(site, Fault.STRAY_FIRST, Fault.EXTRA, Fault.EXTRA)
+    for number in range(8):
+        target = f"/order/{number}"
+        _assert_own(site.send(target, "POST", b"b"), target)
+        assert _runs(site, f"id-{target}") == 1
+
+
+def test_unframed_answer_that_ends_cleanly_is_whole(site: PlatformSite) -> None:
+    _set_faults(site, Fault.UNFRAMED)
+    _assert_own(site.send("/look/x"), "/look/x")
+
+
+def test_shed_order_runs_elsewhere_and_is_refused_truly(site: PlatformSite) -> None:
+    site.servers[0].faults = [Fault.SHED]
+    site.servers[1].faults = [Fault.SHED]
+    site.instances[0].world.queues.of("shop").retry_budget = 5.0
+    reply = site.send("/order/x", "POST", b"b")
+    assert reply.status == 503
+    assert "retry-after" not in reply.headers or float(reply.headers["retry-after"]) > 0
+    assert _runs(site, "id-/order/x") == 0
+    _set_faults(site)
+    site.servers[0].faults = [Fault.MISDIRECTED]
+    _assert_own(site.send("/order/y", "POST", b"b"), "/order/y")
+
+
+def test_server_that_answers_early_gets_the_rest_of_the_body(
+    site: PlatformSite,
+) -> None:
+    _set_faults(site, Fault.EARLY)
+    body = b"x" * 300_000
+    reply = site.send("/put/x", "POST", body)
+    assert (reply.status, reply.body) == (200, b"early")
+    site.wait_for(lambda: _runs(site, "id-/put/x") == 1, "the body is read")
+    assert site.run(_read_body(site)) == body
+    _assert_own(site.send("/look/after"), "/look/after")
+
+
+async def _read_body(site: PlatformSite) -> bytes:
+    (request,) = [r for server in site.servers for r in server.requests]
+    return request[3]
+
+
+def test_long_bodies_stream_both_ways(site: PlatformSite) -> None:
+    for server in site.servers:
+        server.answer_bytes = 1_500_000
+    body = bytes(range(256)) * 8_000
+    reply = site.send("/put/x", "POST", body)
+    assert reply.status == 200
+    assert len(reply.body) == 1_500_000
+    assert site.run(_read_body(site)) == body
+
+
+def test_long_answer_that_breaks_off_does_not_look_whole(site: PlatformSite) -> None:
+    for server in site.servers:
+        server.answer_bytes = 1_500_000
+    _set_faults(site, Fault.CUT)
+    with pytest.raises(ConnectionError):
+        site.send("/order/x", "POST", b"b")
+
+
+def test_body_over_the_limit_is_refused(site: PlatformSite) -> None:
+    async def work() -> Reply:
+        reader, writer = await site.connect()
+        head = request_bytes("/put/x", "POST", Content_Length="5000000")
+        writer.write(head + b"x" * 2_000_000)
+        return await read_reply(reader)
+
+    assert site.run(work()).status == 413
+    assert not any(server.requests for server in site.servers)
+
+
+def test_pipelined_requests_are_answered_in_order(site: PlatformSite) -> None:
+    for server in site.servers:
+        server.service_s = 0.02
+
+    async def work() -> list[Reply]:
+        reader, writer = await site.connect()
+        targets = [f"/look/{number}" for number in range(6)]
+        writer.write(b"".join(request_bytes(target) for target in targets))
+        return [await read_reply(reader) for _ in targets]
+
+    for number, reply in enumerate(site.run(work())):
+        _assert_own(reply, f"/look/{number}")
+
+
+def test_what_is_behind_an_answer_that_closes_does_not_run(site: PlatformSite) -> None:
+    async def work() -> tuple[Reply, bytes]:
+        reader, writer = await site.connect()
+        first = request_bytes("/look/1", Connection="close")
+        writer.write(first + request_bytes("/order/2", "POST", b"b"))
+        return await read_reply(reader), await reader.read()
+
+    reply, rest = site.run(work())
+    _assert_own(reply, "/look/1")
+    assert rest == b""
+    assert _runs(site, "id-/order/2") == 0
+
+
+def test_lookup_of_a_caller_that_left_is_cancelled_and_an_order_is_not(
+    site: PlatformSite,
+) -> None:
+    for server in site.servers:
+        server.service_s = 0.8
+
+    async def leave(target: str, method: str) -> None:
+        _, writer = await site.connect()
+        writer.write(request_bytes(target, method, b""))
+        for _ in range(200):
+            if _runs(site, f"id-{target}"):
+                break
+            await asyncio.sleep(0.01)
+        writer.close()
+
+    site.run(leave("/look/x", "GET"))
+    site.wait_for(
+        lambda: sum(s.n_cancelled for s in site.servers) == 1,
+        "the look-up is cancelled",
+    )
+    site.run(leave("/order/x", "POST"))
+    site.wait_for(
+        lambda: all(s.n_running == 0 for s in site.servers), "the order has run"
+    )
+    assert sum(s.n_cancelled for s in site.servers) == 1
+
+
+@pytest.mark.parametrize(
+    ("target", "method"), [("/look/x", "GET"), ("/order/x", "POST")]
+)
+def test_silent_server_ends_with_a_final_answer_in_time(
+    site: PlatformSite, target: str, method: str
+) -> None:
+    _set_faults(site, Fault.SILENT)
+
+    async def work() -> tuple[Reply, float]:
+        start_s = site.loop.time()
+        reply = await site.ask(target, method, X_Deadline_Milliseconds="600")
+        return reply, site.loop.time() - start_s
+
+    reply, took_s = site.run(work())
+    assert reply.status == 504
+    assert took_s < 0.6 + 0.3
+
+
+def test_half_sent_request_times_out_and_half_sent_body_runs_nowhere(
+    site: PlatformSite,
+) -> None:
+    async def work() -> tuple[Reply, bytes]:
+        reader, writer = await site.connect()
+        writer.write(b"GET /look/x HTTP/1.1\r\nHost: shop")
+        late = await read_reply(reader)
+        reader, writer = await site.connect()
+        writer.write(request_bytes("/put/x", "POST", b"abc", Content_Length="10"))
+        writer.write_eof()
+        return late, await reader.read()
+
+    late, rest = site.run(work())
+    assert late.status == 408
+    assert rest == b"" or b" 400 " in rest
+    assert not any(server.requests for server in site.servers)
+
+
+def test_stop_answers_what_was_read_and_closes_idle_connections(
+    site: PlatformSite,
+) -> None:
+    for server in site.servers:
+        server.service_s = 0.6
+
+    async def work() -> tuple[Reply, bytes]:
+        instance = site.instances[0]
+        idle_reader, idle_writer = await site.connect()
+        idle_writer.write(request_bytes("/look/0"))
+        await read_reply(idle_reader)
+        reader, writer = await site.connect()
+        writer.write(request_bytes("/order/1", "POST", b"b"))
+        await asyncio.sleep(0.1)
+        instance.request_stop()
+        reply = await read_reply(reader)
+        await asyncio.wait_for(instance.run(), 5)
+        site.instances.remove(instance)
+        return reply, await idle_reader.read()
+
+    reply, rest = site.run(work())
+    _assert_own(reply, "/order/1")
+    assert reply.headers["connection"] == "close"
+    assert rest == b""
+
+
+def test_new_configuration_and_withdrawn_key_are_in_force_soon(
+    site: PlatformSite,
+) -> None:
+    tenants = [{"name": "ana", "apiKeys": ["new"], "ratePerS": 1000, "burst": 1000}]
+    site.store.put("op/config", manifest(5, tenants=tenants))
+    site.wait_for(
+        lambda: site.instances[0].world.configuration.revision == 5, "in force"
+    )
+    assert site.send("/look/x").status == 401
+    assert site.send("/look/x", X_Credential="new").status == 200
+    site.store.put("op/config", manifest(4))
+    site.store.put("op/config", b"{broken")
+    site.store.put("op/config", manifest(6, hosts=[{"host": "shop.example"}]))
+    site.wait_for(
+        lambda: site.instances[0].world.configuration.revision == 6, "in force"
+    )
+    assert site.send("/look/x").status == 404
+
+
+def test_requests_with_keys_are_refused_when_the_store_is_silent_for_long(
+    site: PlatformSite,
+) -> None:
+    site.store.mode = Mode.SILENT
+    site.run(asyncio.sleep(1.0))
+    assert site.send("/look/x").status == 200
+    site.run(asyncio.sleep(3.5))
+    assert site.send("/look/x").status == 503
+    assert site.send("/open/x").status == 200
+    site.store.mode = Mode.SERVING
+
+
+def test_leaving_server_gets_nothing_and_a_bad_record_names_none(
+    site: PlatformSite,
+) -> None:
+    leaving, staying = site.servers
+    site.store.put("servers/i-0", record(leaving, state="draining", sequence=2))
+    for name, value in (
+        ("i-5", b"\xff\xfe"),
+        ("i-6", {"address": "nowhere"}),
+        ("i-7", record(leaving, state="asleep")),
+        ("i-8", {**record(leaving), "status": "ready"}),
+        ("i-9", {**record(leaving), "address": 7}),
+    ):
+        site.store.put(f"servers/{name}", value)
+    world = site.instances[0].world
+
+    def is_leaving() -> bool:
+        row = world.servers.get("i-0")
+        return row is None or row.is_leaving
+
+    site.wait_for(is_leaving, "the server is known to leave")
+    for number in range(6):
+        assert site.send(f"/look/{number}").status == 200
+    assert not leaving.requests
+    assert len(staying.requests) == 6
+    assert {row.server_id for row in world.servers.rows()} <= {"i-0", "i-1"}
+
+
+def test_evacuated_place_gets_nothing_until_it_is_taken_back(
+    site: PlatformSite,
+) -> None:
+    world = site.instances[0].world
+    site.store.put("op/evacuate/a-1", {})
+    site.wait_for(lambda: "a-1" in world.evacuated, "the evacuation is known")
+    assert site.send("/look/x").status == 503
+    site.store.delete("op/evacuate/a-1")
+    site.wait_for(lambda: not world.evacuated, "the place is taken back")
+    assert site.send("/look/x").status == 200
+
+
+def test_history_that_is_gone_is_read_whole(site: PlatformSite) -> None:
+    world = site.instances[0].world
+    site.store.mode = Mode.BUSY
+    site.run(asyncio.sleep(0.5))
+    site.store.put("op/config", manifest(9))
+    site.store.forget_history()
+    site.store.mode = Mode.SERVING
+    site.wait_for(lambda: world.configuration.revision == 9, "in force")
+
+
+def test_lookups_name_ready_instances_only(site: PlatformSite) -> None:
+    async def work() -> tuple[int, bytes, int]:
+        first = site.instances[0]
+        second = await site.add_instance("front-a-2")
+        for _ in range(300):
+            if all(len(i.world.peers.alive()) == 1 for i in site.instances):
+                break
+            await asyncio.sleep(0.01)
+        status, body = await _get(
+            second.settings.lookup_listen, "/api/resolve?zone=a-1&region=a"
+        )
+        assert first.settings.listen.encode() in body
+        assert second.settings.listen.encode() in body
+        first.request_stop()
+        await asyncio.sleep(1.0)
+        _, body = await _get(
+            second.settings.lookup_listen, "/api/resolve?zone=a-1&region=a"
+        )
+        assert first.settings.listen.encode() not in body
+        ready, _ = await _get(first.settings.ready_listen, "/api/readiness")
+        return status, body, ready
+
+    status, body, ready = site.run(work())
+    assert status == 200
+    assert ready == 503
+
+
+async def _get(address: str, target: str) -> tuple[int, bytes]:
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(
+        f"GET {target} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode()
+    )
+    reply = await read_reply(reader)
+    with contextlib.suppress(ConnectionError):
+        writer.close()
+    return reply.status, reply.body
+
+
+def test_own_record_is_kept_and_written_again(site: PlatformSite) -> None:
+    key = "rhubarbspan/instances/front-a-1"
+    site.wait_for(lambda: key in site.store.items, "the record is written")
+    lease = site.store.items[key].lease
+    site.store.lapse(lease)
+    site.wait_for(lambda: key in site.store.items, "the record is written again")
+    assert site.store.items[key].lease != lease
