Try servers that join, call the store less often, and log decisions on requests

Change: one instance of a server's region tries it with a request that may be repeated; heartbeats carry addresses, so that the list of instances is read seldom; watches wait 1.6 s, and 0.9 s pass between two over the servers. Request lines go to standard output through a writer that never blocks. Ruled out: bonuses for cold servers at every instance, which cost a late answer each.

--- a/src/rhubarbspan/commands.py
+++ b/src/rhubarbspan/commands.py
@@ -130,9 +130,7 @@
     from .platform.settings import DEFAULT_PATH, PATH_VARIABLE
 
     path = arguments.settings or os.environ.get(PATH_VARIABLE, DEFAULT_PATH)
-    silent = logbook.NullHandler()
-    log = open_log("INFO", "json")
-    with silent.applicationbound(), log.applicationbound():
+    with logbook.NullHandler().applicationbound():
         failure = await serve(path)
     if failure is None:
         return EXIT_DONE
--- a/src/rhubarbspan/edge/daemon.py
+++ b/src/rhubarbspan/edge/daemon.py
@@ -15,6 +15,7 @@
     Exit,
     Level,
     LogChange,
+    LogRequest,
     SendPeer,
     StartAttempt,
     WriteClaim,
@@ -144,6 +145,10 @@
                 self._peers.send(effect)
             case WriteClaim():
                 self._platform.claim(effect)
+            case LogRequest(event=event, request=request, fields=fields):
+                LOG.debug(
+                    "{}: request {} {} {}", self.settings.seat, request, event, fields
+                )
             case LogChange(level=Level.WARNING, text=text):
                 LOG.warning("{}: {}", self.settings.seat, text)
             case LogChange(text=text):
--- a/src/rhubarbspan/edge/feed.py
+++ b/src/rhubarbspan/edge/feed.py
@@ -35,10 +35,12 @@
 LOG = logbook.Logger("rhubarbspan.store")
 # A watch waits well under the shortest bound (2.5 s for a new configuration), since
 # one whose connection fell silent is noticed only when it should have returned.
-WAIT_S = 1.0
+WAIT_S = 1.6
 # Servers report often, so that a watch over them returns at once: the pause between
 # two calls bounds their number, and with the wait the age of a report.
-SERVERS_PAUSE_S = 0.6
+SERVERS_PAUSE_S = 0.9
+# Instances hear of each other by heartbeats; the list only introduces new ones.
+INSTANCES_WAIT_S = 5.0
 INSTANCES_PAUSE_S = 1.0
 RETRY_S = 0.25
 # Part of the time after which a withdrawn key must not work that a configuration may
@@ -51,12 +53,15 @@
     """What the store held under one prefix.
 
     Attributes:
+        wait_s: How long a watch waits for a change.
+        pause_s: Pause between two calls.
         revision: The store's revision up to which it is known, 0 for not at all.
         values: Values by key.
         is_failing: Whether the last call failed.
     """
 
     prefix: str
+    wait_s: float
     pause_s: float
     revision: int = 0
     values: dict[str, bytes | None] = field(default_factory=dict)
@@ -79,9 +84,9 @@
 
     def start(self) -> None:
         """Begin to follow."""
-        operator = Mirror(OPERATOR_PREFIX, 0.0)
-        servers = Mirror(SERVER_PREFIX, SERVERS_PAUSE_S)
-        instances = Mirror(INSTANCE_PREFIX, INSTANCES_PAUSE_S)
+        operator = Mirror(OPERATOR_PREFIX, WAIT_S, 0.0)
+        servers = Mirror(SERVER_PREFIX, WAIT_S, SERVERS_PAUSE_S)
+        instances = Mirror(INSTANCE_PREFIX, INSTANCES_WAIT_S, INSTANCES_PAUSE_S)
         self._spawn(self._follow(operator, self._offer_operator))
         self._spawn(self._follow(servers, self._offer_servers))
         self._spawn(self._follow(instances, self._offer_instances))
@@ -111,7 +116,7 @@
                 reading = await self._store.read_range(mirror.prefix)
             else:
                 reading = await self._store.watch(
-                    mirror.prefix, mirror.revision, WAIT_S
+                    mirror.prefix, mirror.revision, mirror.wait_s
                 )
             if isinstance(reading, Failure):
                 self._note_failure(mirror, reading)
--- a/src/rhubarbspan/edge/instance.py
+++ b/src/rhubarbspan/edge/instance.py
@@ -4,6 +4,7 @@
 import contextlib
 import os
 import signal
+import sys
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -18,6 +19,7 @@
     Exit,
     Level,
     LogChange,
+    LogRequest,
     SendPeer,
     StartAttempt,
     WriteClaim,
@@ -30,6 +32,7 @@
 from ..world import Identity, create_world
 from .feed import Feed
 from .front import Front
+from .lines import LineHandler, LineWriter
 from .lookups import LookupServer
 from .peers import PeerEdge
 from .registration import Registration
@@ -81,14 +84,17 @@
         "_store",
         "_feed",
         "_registration",
+        "_lines",
     )
 
     def __init__(
         self,
         settings: PlatformSettings,
         clock: Callable[[], float] = read_clock_s,
+        lines: LineWriter | None = None,
     ) -> None:
         self.settings = settings
+        self._lines = lines
         identity = Identity(
             settings.name,
             settings.data_centre,
@@ -167,6 +173,8 @@
             case WriteClaim(request_id=request_id):
                 # The platform's routes ask for no claims.
                 LOG.warning("{}: a claim is not written", request_id)
+            case LogRequest():
+                self._log_request(effect)
             case LogChange(level=Level.WARNING, text=text):
                 LOG.warning("{}: {}", self.settings.name, text)
             case LogChange(text=text):
@@ -174,6 +182,13 @@
             case Exit():
                 self.stopped.set()
 
+    def _log_request(self, effect: LogRequest) -> None:
+        if self._lines is None:
+            return
+        kind = "refused" if effect.is_failure else "request"
+        fields = {"event": effect.event, "request": effect.request, **effect.fields}
+        self._lines.write(kind, fields)
+
 
 async def serve(path: str) -> Failure | None:
     """Run an instance until it is asked to stop by SIGTERM or SIGINT.
@@ -194,7 +209,19 @@
     settings = _load(path)
     if isinstance(settings, Failure):
         return settings
-    instance = Instance(settings)
+    lines = LineWriter(sys.stdout.fileno(), settings.name, read_clock_s)
+    with LineHandler(lines, "INFO").applicationbound():
+        return await _serve_until_stopped(settings, lines, path, stop, reload)
+
+
+async def _serve_until_stopped(
+    settings: PlatformSettings,
+    lines: LineWriter,
+    path: str,
+    stop: asyncio.Event,
+    reload: asyncio.Event,
+) -> Failure | None:
+    instance = Instance(settings, lines=lines)
     failure = await instance.start()
     if failure is not None:
         await instance.close()
--- /dev/null
+++ b/src/rhubarbspan/edge/lines.py
@@ -0,0 +1,133 @@
+"""Writes log lines without ever blocking: bounded per second, and in memory."""
+
+import asyncio
+import os
+from collections import Counter, deque
+from collections.abc import Callable
+from typing import Any
+
+import logbook
+import msgspec
+
+# Lines of each kind in a second; what is rarer and tells more has more room.
+CAPS_PER_S = {"failure": 200, "belief": 200, "refused": 100, "request": 60}
+DEFAULT_CAP_PER_S = 60
+# Bytes that may wait for a reader that does not read.
+MAX_WAITING_BYTES = 262_144
+WINDOW_S = 1.0
+
+Fields = dict[str, Any]
+
+
+class LineWriter:
+    """Writes JSON objects, one a line, to a file descriptor.
+
+    Attributes:
+        n_left_out: Lines that were left out, by kind, since that was last written.
+    """
+
+    __slots__ = (
+        "n_left_out",
+        "_descriptor",
+        "_clock",
+        "_waiting",
+        "_n_waiting_bytes",
+        "_is_armed",
+        "_window_s",
+        "_n_written",
+        "_name",
+    )
+
+    def __init__(self, descriptor: int, name: str, clock: Callable[[], float]) -> None:
+        self._descriptor = descriptor
+        self._name = name
+        self._clock = clock
+        self._waiting: deque[bytes] = deque()
+        self._n_waiting_bytes = 0
+        self._is_armed = False
+        self._window_s = 0.0
+        self._n_written: Counter[str] = Counter()
+        self.n_left_out: Counter[str] = Counter()
+        os.set_blocking(descriptor, False)
+
+    def write(self, kind: str, fields: Fields) -> None:
+        """Write a line, or count it as left out."""
+        now_s = self._clock()
+        if now_s - self._window_s >= WINDOW_S:
+            self._start_window(now_s)
+        self._n_written[kind] += 1
+        if self._n_written[kind] > CAPS_PER_S.get(kind, DEFAULT_CAP_PER_S):
+            self.n_left_out[kind] += 1
+            return
+        self._add(kind, fields)
+        self._flush()
+
+    def _start_window(self, now_s: float) -> None:
+        self._window_s = now_s
+        self._n_written.clear()
+        if self.n_left_out and self._n_waiting_bytes < MAX_WAITING_BYTES:
+            left_out = dict(self.n_left_out)
+            self.n_left_out.clear()
+            self._add("belief", {"event": "lines_left_out", "n_left_out": left_out})
+
+    def _add(self, kind: str, fields: Fields) -> None:
+        head = {"now_s": round(self._clock(), 4), "instance": self._name}
+        line = msgspec.json.encode({**head, **fields}) + b"\n"
+        if self._n_waiting_bytes + len(line) > MAX_WAITING_BYTES:
+            self.n_left_out[kind] += 1
+            return
+        self._waiting.append(line)
+        self._n_waiting_bytes += len(line)
+
+    def _flush(self) -> None:
+        while self._waiting:
+            line = self._waiting[0]
+            try:
+                n_bytes = os.write(self._descriptor, line)
+            except BlockingIOError:
+                self._arm()
+                return
+            except OSError:
+                # Nobody will read: the lines are lost, the requests are not.
+                self._waiting.clear()
+                self._n_waiting_bytes = 0
+                return
+            self._n_waiting_bytes -= n_bytes
+            if n_bytes == len(line):
+                self._waiting.popleft()
+            else:
+                self._waiting[0] = line[n_bytes:]
+
+    def _arm(self) -> None:
+        """Go on when the reader has made room."""
+        if self._is_armed:
+            return
+        try:
+            loop = asyncio.get_running_loop()
+            loop.add_writer(self._descriptor, self._go_on)
+        except (RuntimeError, OSError):
+            # A file cannot be waited for; the next line tries again.
+            return
+        self._is_armed = True
+
+    def _go_on(self) -> None:
+        asyncio.get_running_loop().remove_writer(self._descriptor)
+        self._is_armed = False
+        self._flush()
+
+
+class LineHandler(logbook.Handler):  # type: ignore[misc]
+    """Passes the program's log records on as lines."""
+
+    def __init__(self, writer: LineWriter, level: str) -> None:
+        super().__init__(level=logbook.lookup_level(level))
+        self._writer = writer
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Write a record."""
+        level = record.level_name.lower()
+        fields: Fields = {"event": "log", "level": level, "text": record.message}
+        if record.exc_info:
+            fields["error"] = record.formatted_exception
+        kind = "belief" if level in ("info", "debug", "notice") else "failure"
+        self._writer.write(kind, fields)
--- a/src/rhubarbspan/effects.py
+++ b/src/rhubarbspan/effects.py
@@ -87,6 +87,23 @@
     text: str
 
 
+@dataclass(slots=True)
+class LogRequest:
+    """Write a line about a decision that touches a request.
+
+    Attributes:
+        event: What was decided.
+        request: The caller's name for the request.
+        fields: What decided it, with units in the names.
+        is_failure: Whether the request ends without the caller's answer.
+    """
+
+    event: str
+    request: str
+    fields: dict[str, str | float]
+    is_failure: bool = False
+
+
 @dataclass(slots=True)
 class Exit:
     """End the process: nothing is left to do."""
@@ -99,6 +116,7 @@
     | SendPeer
     | WriteClaim
     | LogChange
+    | LogRequest
     | Exit
 )
 Effects = list[Effect]
--- a/src/rhubarbspan/peer_messages.py
+++ b/src/rhubarbspan/peer_messages.py
@@ -81,6 +81,8 @@
     demands: list[AccountDemand] = field(default_factory=list)
     suspects: list[SuspectNotice] = field(default_factory=list)
     data_centre: str = ""
+    address: str = ""
+    peer_address: str = ""
 
 
 @dataclass(slots=True)
--- a/src/rhubarbspan/systems/health.py
+++ b/src/rhubarbspan/systems/health.py
@@ -155,6 +155,7 @@
     row = world.servers.get(load.server_id)
     if row is None:
         return
+    world.servers.untried.pop(row.server_id, None)
     n_all = load.n_running + load.n_waiting
     row.n_others = max(0.0, float(n_all - len(row.running)))
     row.others_s = now_s
@@ -172,6 +173,7 @@
     if now_s - world.started_s > START_GRACE_S:
         row.cold_since_s = now_s
     world.servers.add(row)
+    world.servers.untried[row.server_id] = None
 
 
 def _refresh_server(row: ServerRow, server: ServerListing) -> Effects:
--- a/src/rhubarbspan/systems/membership.py
+++ b/src/rhubarbspan/systems/membership.py
@@ -94,6 +94,8 @@
     row.last_heard_s = now_s
     row.revision = heartbeat.revision
     row.is_leaving = heartbeat.is_leaving
+    row.address = heartbeat.address or row.address
+    row.peer_address = heartbeat.peer_address or row.peer_address
     row.loads = {load.pool: load for load in heartbeat.loads}
     row.demands = {demand.account: demand for demand in heartbeat.demands}
     if row.is_alive:
@@ -127,6 +129,8 @@
         demands=_describe_demands(world, now_s),
         suspects=_describe_suspects(world),
         data_centre=me.data_centre,
+        address=me.address,
+        peer_address=me.peer_address,
     )
     return [SendPeer(row.seat, heartbeat) for row in neighbours(world)]
 
--- a/src/rhubarbspan/systems/placement.py
+++ b/src/rhubarbspan/systems/placement.py
@@ -9,8 +9,8 @@
 
 from dataclasses import dataclass
 
-from ..configuration import Pool
-from ..effects import Effects, StartAttempt
+from ..configuration import Pool, RouteKind
+from ..effects import Effects, LogRequest, StartAttempt
 from ..inputs import Timer
 from ..tables.objects import RankingRow
 from ..tables.queues import QueueRow
@@ -73,7 +73,7 @@
             continue
         place = find_place(world, now_s, pool, row)
         if place is not None:
-            effects.append(_start(world, now_s, queue, row, place))
+            effects += _start(world, now_s, queue, row, place)
         elif now_s >= _wait_until_s(row):
             verdict = row.last_verdict or NotRun(Reason.NO_SERVER)
             retry_s = RETRY_AFTER_S * (0.5 + world.rng.random())
@@ -94,6 +94,9 @@
 
 def find_place(world: World, now_s: float, pool: Pool, row: RequestRow) -> Place | None:
     """Find the server with the least expected cost, or None if none has room."""
+    untried = _find_untried(world, now_s, pool, row)
+    if untried is not None:
+        return untried
     best: Place | None = None
     best_suspect: Place | None = None
     for rank, server_id in enumerate(_ranking(world, pool.name, row)):
@@ -113,6 +116,41 @@
     return best or best_suspect
 
 
+def _find_untried(
+    world: World, now_s: float, pool: Pool, row: RequestRow
+) -> Place | None:
+    """Find a server that has not got any request, to be tried by this instance.
+
+    No request would prefer a server that knows no object, so that one that joins
+    would stay idle. One instance tries each, with a request that may be repeated.
+    """
+    if row.route.kind is not RouteKind.IDEMPOTENT or row.tried:
+        return None
+    for server_id in world.servers.untried:
+        server = world.servers.get(server_id)
+        if server is None or server.pool != pool.name or server.is_leaving:
+            continue
+        if row.regions is not None and server.region not in row.regions:
+            continue
+        if not is_available(server, now_s) or server.running:
+            continue
+        if _trier(world, server) == world.identity.seat:
+            place = _judge(world, now_s, pool, row, server, 0)
+            if place is not None:
+                return place
+    return None
+
+
+def _trier(world: World, server: ServerRow) -> str:
+    """Return the instance that tries a server: one of its region if there is one."""
+    me = world.identity
+    rows = [(peer.region, peer.seat) for peer in world.peers.alive()]
+    rows.append((me.region, me.seat))
+    near = [seat for region, seat in rows if region == server.region]
+    seats = near or [seat for _, seat in rows]
+    return max(seats, key=lambda seat: rendezvous_score(server.server_id, seat))
+
+
 def _judge(
     world: World,
     now_s: float,
@@ -189,7 +227,7 @@
 
 def _start(
     world: World, now_s: float, queue: QueueRow, row: RequestRow, place: Place
-) -> StartAttempt:
+) -> Effects:
     server = place.server
     queue.n_queued -= 1
     world.requests.move(row, RequestState.RUNNING)
@@ -198,18 +236,36 @@
     row.sent_s = now_s
     row.was_warm = place.is_warm
     server.running[row.request_id] = row.n_attempts
+    world.servers.untried.pop(server.server_id, None)
     server.starts.append(now_s)
     del server.starts[:-16]
     if row.arrived.object_key:
         world.objects.note(server.server_id, row.arrived.object_key)
     note_start(world, row)
     world.count("attempts", queue.pool)
-    return StartAttempt(
+    line = LogRequest(
+        "sent",
+        row.arrived.caller_request_id,
+        {
+            "server": server.server_id,
+            "incarnation": server.incarnation,
+            "attempt": row.n_attempts,
+            "object": row.arrived.object_key,
+            "is_warm": place.is_warm,
+            "cost_s": round(place.cost_s, 4),
+            "n_running": len(server.running),
+            "n_others": round(_n_others(server, now_s), 2),
+            "others_age_s": round(min(now_s - server.others_s, 1e6), 3),
+            "waited_s": round(now_s - row.arrived_s, 4),
+        },
+    )
+    attempt = StartAttempt(
         row.request_id,
         row.n_attempts,
         server.server_id,
         server.address,
         max(0.001, row.deadline_s - now_s),
         account=row.account,
-        is_idempotent=row.route.kind.value == "idempotent",
+        is_idempotent=row.route.kind is RouteKind.IDEMPOTENT,
     )
+    return [attempt, line]
--- a/src/rhubarbspan/systems/refusing.py
+++ b/src/rhubarbspan/systems/refusing.py
@@ -1,6 +1,6 @@
 """Ends requests: the answer to the caller, the counters and the history."""
 
-from ..effects import AnswerCaller, Effects
+from ..effects import AnswerCaller, Effects, LogRequest
 from ..tables.requests import RequestRow, RequestState
 from ..verdict import Answered, MayHaveRun, NotRun, Reason, Verdict
 from ..world import World
@@ -24,14 +24,39 @@
     if isinstance(verdict, NotRun):
         release_claim(world, row)
     _end(world, now_s, row, verdict)
-    return [AnswerCaller(row.request_id, verdict, retry_after_s)]
+    event = "refused" if isinstance(verdict, NotRun) else "failed"
+    line = describe_end(world, now_s, row, event)
+    line.is_failure = True
+    line.fields["reason"] = verdict.reason.value
+    return [AnswerCaller(row.request_id, verdict, retry_after_s), line]
 
 
 def finish(world: World, now_s: float, row: RequestRow, status: int) -> Effects:
     """End a request whose whole answer reached the caller."""
     verdict = Answered(status)
     _end(world, now_s, row, verdict)
-    return [AnswerCaller(row.request_id, verdict)]
+    line = describe_end(world, now_s, row, "answered")
+    line.fields["status"] = status
+    line.is_failure = status >= SERVER_ERROR_STATUS
+    return [AnswerCaller(row.request_id, verdict), line]
+
+
+def describe_end(world: World, now_s: float, row: RequestRow, event: str) -> LogRequest:
+    """Describe the end of a request: how long it took, where, and how warm."""
+    config_age_s = now_s - world.configuration_state.confirmed_s
+    fields: dict[str, str | float] = {
+        "route": row.route.name,
+        "account": row.account,
+        "pool": row.route.pool,
+        "server": row.server_id,
+        "n_attempts": row.n_attempts,
+        "is_warm": row.was_warm,
+        "took_s": round(now_s - row.arrived_s, 4),
+        "queued_s": round((row.sent_s or now_s) - row.arrived_s, 4),
+        "revision": world.configuration.revision,
+        "config_age_s": round(min(config_age_s, 1e6), 3),
+    }
+    return LogRequest(event, row.arrived.caller_request_id, fields)
 
 
 def _end(world: World, now_s: float, row: RequestRow, verdict: Verdict) -> None:
--- a/src/rhubarbspan/tables/servers.py
+++ b/src/rhubarbspan/tables/servers.py
@@ -88,12 +88,14 @@
     """Backend servers by identifier.
 
     Attributes:
+        untried: Servers that are not known to have got any request.
         version: Grows when a server is added or removed.
     """
 
-    __slots__ = ("_rows", "_by_pool", "version")
+    __slots__ = ("_rows", "_by_pool", "version", "untried")
 
     def __init__(self) -> None:
+        self.untried: dict[str, None] = {}
         self.version = 0
         self._rows: dict[str, ServerRow] = {}
         self._by_pool: dict[tuple[str, str], dict[str, ServerRow]] = {}
@@ -111,6 +113,7 @@
     def remove(self, row: ServerRow) -> None:
         """Remove a row."""
         self.version += 1
+        self.untried.pop(row.server_id, None)
         del self._rows[row.server_id]
         del self._by_pool[row.pool, row.region][row.server_id]
 
