Refuse rather than teach servers objects while slots are short

Change: above 0.85 of the slots in use no server learns an object (urgent requests up to 1.0); above 0.8 the answer must be expected within the objective, urgent requests having more room; times are learned only from requests that found a free slot.

--- a/src/rhubarbspan/systems/placement.py
+++ b/src/rhubarbspan/systems/placement.py
@@ -12,7 +12,7 @@
 from ..configuration import Pool, RouteKind
 from ..effects import Effects, LogRequest, StartAttempt
 from ..inputs import Timer
-from ..tables.objects import RankingRow
+from ..tables.objects import RankingRow, UtilisationRow
 from ..tables.queues import QueueRow
 from ..tables.requests import RequestRow, RequestState
 from ..tables.servers import ServerRow
@@ -38,7 +38,19 @@
 # Part of the latency objective for which a request may wait here.
 WAIT_FRACTION = 0.2
 # How long a server's word on its load is worth something.
-LOAD_MEMORY_S = 0.6
+LOAD_MEMORY_S = 2.5
+# Part of a pool's slots in use above which slots are short.
+SHORT_UTILISATION = 0.8
+# Part in use above which no server is made to learn an object: such a run is late and
+# takes the slot for three times as long. Urgent requests may do so for longer.
+LEARNING_UTILISATION = 0.85
+URGENT_LEARNING_UTILISATION = 1.0
+# Part of the latency objective within which the answer must be expected while slots
+# are short; urgent requests may wait longer, so that others are refused first.
+SHORT_FRACTION = 0.75
+URGENT_SHORT_FRACTION = 1.0
+# How long a measured utilisation is used again.
+UTILISATION_S = 0.05
 # Times taken for granted until the first answer, as parts of the objective.
 FIRST_WARM = 0.5
 FIRST_COLD = 1.0
@@ -53,6 +65,8 @@
     server: ServerRow
     cost_s: float
     is_warm: bool
+    expected_s: float
+    n_ahead: float
 
 
 def place_requests(world: World, now_s: float, pool: Pool, queue: QueueRow) -> Effects:
@@ -99,6 +113,11 @@
         return untried
     best: Place | None = None
     best_suspect: Place | None = None
+    utilisation = measure_utilisation(world, now_s, pool)
+    is_urgent = _is_urgent(world, row)
+    limit_s = _limit_s(now_s, row, utilisation, is_urgent)
+    learning = URGENT_LEARNING_UTILISATION if is_urgent else LEARNING_UTILISATION
+    may_learn = utilisation < learning or not row.arrived.object_key
     for rank, server_id in enumerate(_ranking(world, pool.name, row)):
         server = world.servers.get(server_id)
         if server is None or server_id in row.tried or server.is_leaving:
@@ -106,7 +125,9 @@
         if row.regions is not None and server.region not in row.regions:
             continue
         place = _judge(world, now_s, pool, row, server, rank)
-        if place is None:
+        if place is None or place.expected_s > limit_s:
+            continue
+        if not place.is_warm and not may_learn:
             continue
         if not is_available(server, now_s):
             if best_suspect is None or place.cost_s < best_suspect.cost_s:
@@ -116,6 +137,46 @@
     return best or best_suspect
 
 
+def measure_utilisation(world: World, now_s: float, pool: Pool) -> float:
+    """Return the requests at a pool's servers divided by their slots."""
+    known = world.objects.utilisations.get(pool.name)
+    if known is not None and now_s - known.measured_s < UTILISATION_S:
+        return known.fraction
+    n_there = 0.0
+    n_slots = 0
+    for server in world.servers.of_pool(pool.name):
+        if server.is_leaving or not is_available(server, now_s):
+            continue
+        n_slots += server.n_slots or pool.n_slots_per_server
+        n_there += len(server.running) + _n_others(server, now_s)
+    fraction = n_there / n_slots if n_slots else 0.0
+    world.objects.utilisations[pool.name] = UtilisationRow(now_s, fraction)
+    return fraction
+
+
+def _is_urgent(world: World, row: RequestRow) -> bool:
+    """Tell whether less urgent requests use the same pool."""
+    ranks = [
+        route.priority
+        for route in world.configuration.routes.values()
+        if route.pool == row.route.pool
+    ]
+    return row.priority < max(ranks, default=0)
+
+
+def _limit_s(
+    now_s: float, row: RequestRow, utilisation: float, is_urgent: bool
+) -> float:
+    """Return within which time the answer must be expected."""
+    remaining_s = row.deadline_s - now_s
+    if utilisation < SHORT_UTILISATION:
+        return remaining_s
+    fraction = URGENT_SHORT_FRACTION if is_urgent else SHORT_FRACTION
+    objective_s = row.route.latency_objective_s
+    spent_s = now_s - row.arrived_s
+    return min(remaining_s, max(0.0, fraction * objective_s - spent_s))
+
+
 def _find_untried(
     world: World, now_s: float, pool: Pool, row: RequestRow
 ) -> Place | None:
@@ -176,9 +237,10 @@
     service_s = (warm_s if is_warm else cold_s) * factor
     n_ahead = max(0.0, n_there + 1 - n_slots)
     wait_s = n_ahead * warm_s / n_slots
-    cost_s = wait_s + service_s * (1 + SLOT_WEIGHT) + rank * RANK_COST_S
-    cost_s += _distance_s(world, row, server)
-    return Place(server, cost_s, is_warm)
+    distance_s = _distance_s(world, row, server)
+    expected_s = wait_s + service_s + distance_s
+    cost_s = expected_s + service_s * SLOT_WEIGHT + rank * RANK_COST_S
+    return Place(server, cost_s, is_warm, expected_s, n_ahead)
 
 
 def _is_warm(world: World, row: RequestRow, server: ServerRow) -> bool:
@@ -235,6 +297,7 @@
     row.server_id = server.server_id
     row.sent_s = now_s
     row.was_warm = place.is_warm
+    row.n_ahead = place.n_ahead
     server.running[row.request_id] = row.n_attempts
     world.servers.untried.pop(server.server_id, None)
     server.starts.append(now_s)
--- a/src/rhubarbspan/systems/serving.py
+++ b/src/rhubarbspan/systems/serving.py
@@ -11,6 +11,8 @@
     """Learn how long a request took, and that the server knows its object now."""
     if server is None or not is_good:
         return
-    world.objects.learn(row.route.name, row.was_warm, now_s - row.sent_s)
+    if row.n_ahead < 1:
+        # Otherwise the time contains a wait inside the server.
+        world.objects.learn(row.route.name, row.was_warm, now_s - row.sent_s)
     if row.was_warm:
         world.count("warm", row.route.name)
--- a/src/rhubarbspan/tables/objects.py
+++ b/src/rhubarbspan/tables/objects.py
@@ -32,6 +32,14 @@
     server_ids: list[str]
 
 
+@dataclass(frozen=True, slots=True)
+class UtilisationRow:
+    """Requests at a pool's servers divided by their slots, as measured."""
+
+    measured_s: float
+    fraction: float
+
+
 @dataclass(slots=True)
 class Objects:
     """Objects by server, service times by route, and rankings by object.
@@ -43,6 +51,7 @@
     handled: dict[str, dict[str, None]] = field(default_factory=dict)
     services: dict[str, ServiceRow] = field(default_factory=dict)
     rankings: dict[tuple[str, str], RankingRow] = field(default_factory=dict)
+    utilisations: dict[str, UtilisationRow] = field(default_factory=dict)
 
     def is_warm(self, server_id: str, key: str) -> bool:
         """Tell whether a server has handled an object lately."""
--- a/src/rhubarbspan/tables/requests.py
+++ b/src/rhubarbspan/tables/requests.py
@@ -37,6 +37,7 @@
         last_verdict: The verdict of the latest attempt that failed.
         priority: Its rank where room is short, 0 being the highest.
         regions: The regions that may serve it, or None for all regions.
+        n_ahead: Requests expected to wait before it inside the server.
         was_warm: Whether the server was expected to know the object.
     """
 
@@ -63,6 +64,7 @@
     priority: int = 0
     regions: frozenset[str] | None = None
     was_warm: bool = False
+    n_ahead: float = 0.0
 
 
 class Requests:
