--- a/src/rhubarbspan/systems/placement.py
+++ b/src/rhubarbspan/systems/placement.py
@@ -87,7 +87,7 @@
             continue
         place = find_place(world, now_s, pool, row)
         if place is not None:
-            effects += _start(world, now_s, queue, row, place)
+            effects += _start(world, now_s, pool, queue, row, place)
         elif now_s >= _wait_until_s(row):
             verdict = row.last_verdict or NotRun(Reason.NO_SERVER)
             retry_s = RETRY_AFTER_S * (0.5 + world.rng.random())
@@ -115,8 +115,10 @@
     best_suspect: Place | None = None
     utilisation = measure_utilisation(world, now_s, pool)
     is_urgent = _is_urgent(world, row)
-    limit_s = _limit_s(now_s, row, utilisation, is_urgent)
+    limit_s = _limit_s(world, now_s, row, utilisation, is_urgent)
     learning = URGENT_LEARNING_UTILISATION if is_urgent else LEARNING_UTILISATION
+    if not world.objects.is_known(pool.name, row.arrived.object_key):
+        learning = URGENT_LEARNING_UTILISATION
     may_learn = utilisation < learning or not row.arrived.object_key
     for rank, server_id in enumerate(_ranking(world, pool.name, row)):
         server = world.servers.get(server_id)
@@ -165,11 +167,16 @@
 
 
 def _limit_s(
-    now_s: float, row: RequestRow, utilisation: float, is_urgent: bool
+    world: World,
+    now_s: float,
+    row: RequestRow,
+    utilisation: float,
+    is_urgent: bool,
 ) -> float:
     """Return within which time the answer must be expected."""
     remaining_s = row.deadline_s - now_s
-    if utilisation < SHORT_UTILISATION:
+    is_measured = world.objects.service(row.route.name).is_measured
+    if utilisation < SHORT_UTILISATION or not is_measured:
         return remaining_s
     fraction = URGENT_SHORT_FRACTION if is_urgent else SHORT_FRACTION
     objective_s = row.route.latency_objective_s
@@ -230,9 +237,11 @@
             return None
         factor = 2.0
     service = world.objects.service(row.route.name)
+    general = world.objects.service(pool.name)
     objective_s = row.route.latency_objective_s
-    warm_s = service.warm_s or FIRST_WARM * objective_s
-    cold_s = max(warm_s, service.cold_s or FIRST_COLD * objective_s)
+    warm_s = service.warm_s or general.warm_s or FIRST_WARM * objective_s
+    cold_s = service.cold_s or general.cold_s or FIRST_COLD * objective_s
+    cold_s = cold_s if not row.arrived.object_key else max(warm_s, cold_s)
     is_warm = _is_warm(world, row, server)
     service_s = (warm_s if is_warm else cold_s) * factor
     n_ahead = max(0.0, n_there + 1 - n_slots)
@@ -288,7 +297,12 @@
 
 
 def _start(
-    world: World, now_s: float, queue: QueueRow, row: RequestRow, place: Place
+    world: World,
+    now_s: float,
+    pool: Pool,
+    queue: QueueRow,
+    row: RequestRow,
+    place: Place,
 ) -> Effects:
     server = place.server
     queue.n_queued -= 1
@@ -303,7 +317,7 @@
     server.starts.append(now_s)
     del server.starts[:-16]
     if row.arrived.object_key:
-        world.objects.note(server.server_id, row.arrived.object_key)
+        world.objects.note(pool.name, server.server_id, row.arrived.object_key)
     note_start(world, row)
     world.count("attempts", queue.pool)
     line = LogRequest(
--- a/src/rhubarbspan/systems/serving.py
+++ b/src/rhubarbspan/systems/serving.py
@@ -13,6 +13,7 @@
         return
     if row.n_ahead < 1:
         # Otherwise the time contains a wait inside the server.
-        world.objects.learn(row.route.name, row.was_warm, now_s - row.sent_s)
+        for name in (row.route.name, row.route.pool):
+            world.objects.learn(name, row.was_warm, now_s - row.sent_s)
     if row.was_warm:
         world.count("warm", row.route.name)
--- a/src/rhubarbspan/tables/objects.py
+++ b/src/rhubarbspan/tables/objects.py
@@ -1,5 +1,6 @@
 """The table of objects that backend servers have handled lately, and service times."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 # How many objects one server is expected to keep in memory.
@@ -19,6 +20,11 @@
     warm_s: float = 0.0
     cold_s: float = 0.0
 
+    @property
+    def is_measured(self) -> bool:
+        """Whether any time was measured."""
+        return self.warm_s > 0 or self.cold_s > 0
+
 
 @dataclass(slots=True)
 class RankingRow:
@@ -46,28 +52,47 @@
 
     Attributes:
         handled: For each server, its latest objects in order of use.
+        n_servers: For each pool and object, how many servers know it.
+        pools: For each server with objects, its pool.
     """
 
     handled: dict[str, dict[str, None]] = field(default_factory=dict)
     services: dict[str, ServiceRow] = field(default_factory=dict)
     rankings: dict[tuple[str, str], RankingRow] = field(default_factory=dict)
+    n_servers: Counter[tuple[str, str]] = field(default_factory=Counter)
+    pools: dict[str, str] = field(default_factory=dict)
     utilisations: dict[str, UtilisationRow] = field(default_factory=dict)
 
     def is_warm(self, server_id: str, key: str) -> bool:
         """Tell whether a server has handled an object lately."""
         return key in self.handled.get(server_id, ())
 
-    def note(self, server_id: str, key: str) -> None:
+    def is_known(self, pool: str, key: str) -> bool:
+        """Tell whether any server of a pool has handled an object lately."""
+        return self.n_servers.get((pool, key), 0) > 0
+
+    def note(self, pool: str, server_id: str, key: str) -> None:
         """Note that a server handles an object."""
+        self.pools[server_id] = pool
         latest = self.handled.setdefault(server_id, {})
-        latest.pop(key, None)
+        if latest.pop(key, self) is self:
+            self.n_servers[pool, key] += 1
         latest[key] = None
         while len(latest) > N_OBJECTS_PER_SERVER:
-            del latest[next(iter(latest))]
+            oldest = next(iter(latest))
+            del latest[oldest]
+            self._drop(pool, oldest)
 
     def forget(self, server_id: str) -> None:
         """Forget what a server has handled: it started again or was left alone."""
-        self.handled.pop(server_id, None)
+        pool = self.pools.pop(server_id, "")
+        for key in self.handled.pop(server_id, {}):
+            self._drop(pool, key)
+
+    def _drop(self, pool: str, key: str) -> None:
+        self.n_servers[pool, key] -= 1
+        if self.n_servers[pool, key] <= 0:
+            del self.n_servers[pool, key]
 
     def service(self, route: str) -> ServiceRow:
         """Return the service times of a route."""
