--- a/src/rhubarbspan/edge/feed.py
+++ b/src/rhubarbspan/edge/feed.py
@@ -43,9 +43,12 @@
 INSTANCES_WAIT_S = 5.0
 INSTANCES_PAUSE_S = 1.0
 RETRY_S = 0.25
+# A watch may hear nothing for a second while changes are made, by the platform's pages.
+WATCH_LAG_S = 1.0
 # Part of the time after which a withdrawn key must not work that a configuration may
-# be old; the rest is for requests that wait and for clocks.
-AGE_FRACTION = 0.7
+# be old; the rest is for clocks. Time in a queue does not count: the bound is on when
+# a request was sent.
+AGE_FRACTION = 0.95
 
 
 @dataclass(slots=True)
@@ -127,6 +130,10 @@
                 LOG.info("{}: the store answers again", mirror.prefix)
                 self._ticker.inputs.on_next(StoreRegained())
             _apply(mirror, reading, is_whole)
+            has_waited = self._ticker.now_s() - asked_s >= mirror.wait_s
+            if not is_whole and not reading.items and has_waited:
+                # Nothing had changed when the wait was over.
+                asked_s += max(0.0, mirror.wait_s - WATCH_LAG_S)
             offer(mirror, asked_s)
             await asyncio.sleep(mirror.pause_s)
 
--- a/src/rhubarbspan/edge/instance.py
+++ b/src/rhubarbspan/edge/instance.py
@@ -50,6 +50,8 @@
 N_INSTANCES = 12
 # How long before the end of the grace period an instance stops serving.
 LEAVE_MARGIN_S = 1.6
+# Part of what a cold server may get besides that is used: its being cold is known late.
+COLD_FRACTION = 0.5
 SETTINGS_INTERVAL_S = 1.0
 
 
@@ -65,6 +67,8 @@
         n_max_retries=max(1.0, RETRY_FRACTION * bounds.retry_slack / N_INSTANCES),
         do_sheds_cost=True,
         burst_slack=bounds.limit_slack,
+        cold_overage=bounds.cold_overage,
+        cold_slack=COLD_FRACTION * bounds.cold_slack,
         serve_leaving_s=max(0.0, bounds.grace_s - LEAVE_MARGIN_S),
     )
 
--- a/src/rhubarbspan/policies.py
+++ b/src/rhubarbspan/policies.py
@@ -67,6 +67,8 @@
         do_sheds_cost: Whether a request that a server shed costs a retry.
         burst_slack: Requests of an account that may run beyond its rate and burst,
             over all instances, because instances do not count together.
+        cold_overage: Factor on the rate that a cold server bears.
+        cold_slack: Requests to a cold server in a second allowed besides.
         serve_leaving_s: How long an instance that leaves goes on serving.
     """
 
@@ -79,5 +81,7 @@
     n_max_retries: float = 20.0
     do_sheds_cost: bool = False
     burst_slack: float = 0.0
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
     # The lifetime of a look-up answer, and a second for peers to hear of it.
     serve_leaving_s: float = 4.0
--- a/src/rhubarbspan/systems/intake.py
+++ b/src/rhubarbspan/systems/intake.py
@@ -5,7 +5,7 @@
 import xxhash
 
 from ..configuration import Route, RouteKind, match_route
-from ..effects import AnswerCaller, Effects
+from ..effects import AnswerCaller, Effects, LogRequest
 from ..inputs import Inbox, RequestArrived, Timer
 from ..tables.requests import RequestRow, RequestState
 from ..verdict import NotRun, Reason
@@ -16,6 +16,9 @@
 from .slots import region_slots
 from .suspicion import is_quarantined
 
+# An age that stands for never, in logs.
+MAX_CONFIG_AGE_S = 1e6
+
 
 @dataclass(frozen=True, slots=True)
 class Accepted:
@@ -41,9 +44,23 @@
             case NotRun(reason=reason) as verdict:
                 world.count("not_run", reason.value)
                 effects.append(AnswerCaller(arrived.request_id, verdict))
+                effects.append(_describe_refusal(world, now_s, arrived, reason))
     return effects
 
 
+def _describe_refusal(
+    world: World, now_s: float, arrived: RequestArrived, reason: Reason
+) -> LogRequest:
+    age_s = min(config_age_s(world, now_s), MAX_CONFIG_AGE_S)
+    fields: dict[str, str | float] = {
+        "reason": reason.value,
+        "path": arrived.path,
+        "revision": world.configuration.revision,
+        "config_age_s": round(age_s, 3),
+    }
+    return LogRequest("refused", arrived.caller_request_id, fields, True)
+
+
 def _examine(world: World, now_s: float, arrived: RequestArrived) -> Accepted | NotRun:
     if world.configuration.revision == 0:
         return NotRun(Reason.NOT_READY)
--- a/src/rhubarbspan/systems/placement.py
+++ b/src/rhubarbspan/systems/placement.py
@@ -51,6 +51,7 @@
 URGENT_SHORT_FRACTION = 1.0
 # How long a measured utilisation is used again.
 UTILISATION_S = 0.05
+NO_LIMIT_S = float("inf")
 # Times taken for granted until the first answer, as parts of the objective.
 FIRST_WARM = 0.5
 FIRST_COLD = 1.0
@@ -175,8 +176,10 @@
 ) -> float:
     """Return within which time the answer must be expected."""
     remaining_s = row.deadline_s - now_s
-    is_measured = world.objects.service(row.route.name).is_measured
-    if utilisation < SHORT_UTILISATION or not is_measured:
+    if not world.objects.service(row.route.name).is_measured:
+        # A guess is no reason to refuse.
+        return NO_LIMIT_S
+    if utilisation < SHORT_UTILISATION:
         return remaining_s
     fraction = URGENT_SHORT_FRACTION if is_urgent else SHORT_FRACTION
     objective_s = row.route.latency_objective_s
@@ -274,11 +277,20 @@
 def _may_use_cold(world: World, now_s: float, pool: Pool, server: ServerRow) -> bool:
     """Tell whether a cold server may get one more request from this instance.
 
-    Each instance has an equal part of what the server bears in a second.
+    Each instance has an equal part of what the server bears in a second. If that is
+    less than one request, some instances may send one, the same ones in all views.
     """
+    policies = world.policies
+    rate_per_s = pool.cold_rate_per_s * policies.cold_overage + policies.cold_slack
+    seats = [peer.seat for peer in world.peers.alive()]
+    n_allowed = int(rate_per_s / (1 + len(seats)))
+    if n_allowed < 1:
+        own = rendezvous_score(server.server_id, world.identity.seat)
+        n_before = sum(rendezvous_score(server.server_id, s) > own for s in seats)
+        if n_before >= max(1, int(rate_per_s)):
+            return False
+        n_allowed = 1
     server.starts = [s for s in server.starts if s > now_s - COLD_WINDOW_S]
-    n_instances = 1 + sum(peer.is_alive for peer in world.peers.rows())
-    n_allowed = max(1, int(pool.cold_rate_per_s / n_instances))
     return len(server.starts) < n_allowed
 
 
@@ -325,6 +337,7 @@
         row.arrived.caller_request_id,
         {
             "server": server.server_id,
+            "region": server.region,
             "incarnation": server.incarnation,
             "attempt": row.n_attempts,
             "object": row.arrived.object_key,
