Let servers' word on their load count for one second

Cause: requests were refused while slots were free: an instance sees a server's load with its own answers, that is at busy moments, and believed it for 2.5 s. Ruled out: 0.6 s, as it was before slots that are short were treated apart.

--- a/src/rhubarbspan/systems/placement.py
+++ b/src/rhubarbspan/systems/placement.py
@@ -38,7 +38,7 @@
 # Part of the latency objective for which a request may wait here.
 WAIT_FRACTION = 0.2
 # How long a server's word on its load is worth something.
-LOAD_MEMORY_S = 2.5
+LOAD_MEMORY_S = 1.0
 # Part of a pool's slots in use above which slots are short.
 SHORT_UTILISATION = 0.8
 # Part in use above which no server is made to learn an object: such a run is late and
