Count slots where a request may run

Ruled out: other accounts' requests, which stay away from these servers. Conclusion: kept; what that account asks beyond its home's slots stays refused.

--- a/src/rhubarbspan/systems/placement.py
+++ b/src/rhubarbspan/systems/placement.py
@@ -114,7 +114,7 @@
         return untried
     best: Place | None = None
     best_suspect: Place | None = None
-    utilisation = measure_utilisation(world, now_s, pool)
+    utilisation = measure_utilisation(world, now_s, pool, row.regions)
     is_urgent = _is_urgent(world, row)
     limit_s = _limit_s(world, now_s, row, utilisation, is_urgent)
     learning = URGENT_LEARNING_UTILISATION if is_urgent else LEARNING_UTILISATION
@@ -140,9 +140,19 @@
     return best or best_suspect
 
 
-def measure_utilisation(world: World, now_s: float, pool: Pool) -> float:
-    """Return the requests at a pool's servers divided by their slots."""
-    known = world.objects.utilisations.get(pool.name)
+def measure_utilisation(
+    world: World, now_s: float, pool: Pool, regions: frozenset[str] | None
+) -> float:
+    """Return the requests at a pool's servers divided by their slots.
+
+    Args:
+        world: The tables.
+        now_s: The present time.
+        pool: The pool.
+        regions: The regions whose servers count, or None for all.
+    """
+    key = (pool.name, regions)
+    known = world.objects.utilisations.get(key)
     if known is not None and now_s - known.measured_s < UTILISATION_S:
         return known.fraction
     n_there = 0.0
@@ -150,10 +160,12 @@
     for server in world.servers.of_pool(pool.name):
         if server.is_leaving or not is_available(server, now_s):
             continue
+        if regions is not None and server.region not in regions:
+            continue
         n_slots += server.n_slots or pool.n_slots_per_server
         n_there += len(server.running) + _n_others(server, now_s)
     fraction = n_there / n_slots if n_slots else 0.0
-    world.objects.utilisations[pool.name] = UtilisationRow(now_s, fraction)
+    world.objects.utilisations[key] = UtilisationRow(now_s, fraction)
     return fraction
 
 
--- a/src/rhubarbspan/tables/objects.py
+++ b/src/rhubarbspan/tables/objects.py
@@ -61,7 +61,9 @@
     rankings: dict[tuple[str, str], RankingRow] = field(default_factory=dict)
     n_servers: Counter[tuple[str, str]] = field(default_factory=Counter)
     pools: dict[str, str] = field(default_factory=dict)
-    utilisations: dict[str, UtilisationRow] = field(default_factory=dict)
+    utilisations: dict[tuple[str, frozenset[str] | None], UtilisationRow] = field(
+        default_factory=dict
+    )
 
     def is_warm(self, server_id: str, key: str) -> bool:
         """Tell whether a server has handled an object lately."""
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -311,3 +311,17 @@
     ended = AttemptEnded(1, attempt.attempt_id, TimedOut())
     (answer,) = answers(run_tick(world, START_S + 6.2, [ended]))
     assert isinstance(answer.verdict, MayHaveRun)
+
+
+def test_slots_that_are_short_in_the_homes_only_count_for_requests_with_homes(
+    world: World,
+) -> None:
+    listings = [listing(number) for number in range(N_SERVERS)]
+    listings.append(listing(9, "b-1"))
+    run_tick(world, START_S + 2, [ServersListed("shop", listings)])
+    world.servers.untried.clear()
+    (first,) = started(arrive(world, START_S + 2, 1, "17", path="/home/x"))
+    finish(world, START_S + 2.3, first)
+    run_tick(world, START_S + 2.4, [ServerLoad("i-9", 2, 0, 2)])
+    assert not started(arrive(world, START_S + 2.4, 2, "18", path="/home/x"))
+    assert started(arrive(world, START_S + 2.4, 3, "18"))
