--- /dev/null
+++ b/tests/test_platform_formats.py
@@ -0,0 +1,370 @@
+"""The platform's formats: settings, configuration, records and headers."""
+
+import json
+from pathlib import Path
+
+import pytest
+
+import rhubarbspan
+from rhubarbspan.checking import check_document
+from rhubarbspan.cli import main
+from rhubarbspan.configuration import RouteKind, match_route
+from rhubarbspan.inputs import PeerListing, ServerListing
+from rhubarbspan.platform.headers import (
+    forward_request,
+    read_answer,
+    read_request,
+    refusal,
+)
+from rhubarbspan.platform.manifest import Translated, read_manifest
+from rhubarbspan.platform.records import (
+    read_evacuated,
+    read_instance,
+    read_server,
+    write_instance,
+)
+from rhubarbspan.platform.settings import (
+    BOUND_FIELDS,
+    PlatformSettings,
+    read_platform_settings,
+)
+from rhubarbspan.verdict import Failure, MayHaveRun, NotRun, Reason
+from rhubarbspan.wire.http import hash_key
+
+SOURCE = Path(rhubarbspan.__file__).parent
+REGIONS = {"a-1": "a", "b-1": "b"}
+SETTINGS = """
+nodeName: "front-a-1-1"
+zone: "a-1"
+region: "a"
+zones: {a-1: "a", b-1: "b"}
+ipAddress: "127.0.0.1"
+listenAddresses:
+  front: "127.0.0.1:8001"
+  ready: "127.0.0.1:8002"
+  directory: "127.0.0.1:8003"
+internalPortRange: [7220, 7235]
+heartbeatS: 1.5
+somethingNew: {deep: [1, 2]}
+bounds:
+  - "drainS=3"
+  - "revocationS=7.5"
+  - "strictRevocation=true"
+  - "unknown=x"
+platform:
+  address: "127.0.0.1:8669"
+  ttlMinimumS: 2
+"""
+# Names that only the folder of the platform may know.
+WIRE_NAMES = (
+    "instanceInfo",
+    "coldRemainingS",
+    "expectedRevision",
+    "allowAnonymous",
+    "targetLatencyS",
+    "allowedRegions",
+    "sessionAffinity",
+    "X-Not-Executed",
+    "X-Expected-Instance",
+    "X-Credential",
+    "X-Response-Signature",
+    "X-Affinity-Key",
+    "/api/resolve",
+    "/api/readiness",
+    "ttlS",
+    "apiKeys",
+    "kv-watch",
+)
+
+
+def manifest(**changes: object) -> bytes:
+    """Write a configuration of the platform."""
+    path = {"name": "r", "prefix": "/r/", "kind": "safe", "service": "s"}
+    whole = {
+        "version": 7,
+        "services": [{"name": "s", "coldPerS": 3.5, "coldStartS": 3}],
+        "tenants": [{"name": "t", "apiKeys": ["k"], "ratePerS": 5, "burst": 2.5}],
+        "hosts": [{"host": "H.example", "paths": [path]}],
+        **changes,
+    }
+    return json.dumps(whole).encode()
+
+
+def test_settings_are_read_and_unknown_fields_left_out() -> None:
+    settings = read_platform_settings(SETTINGS, "f.yaml")
+    assert isinstance(settings, PlatformSettings)
+    assert settings.listen == "127.0.0.1:8001"
+    assert settings.peer_listen == "127.0.0.1:7220"
+    assert settings.regions == REGIONS
+    assert settings.bounds.leaving_s == 3.0
+    assert settings.bounds.revocation_s == 7.5
+    assert settings.lease_min_s == 2.0
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "field"),
+    [
+        ('nodeName: "front-a-1-1"', "", "nodeName"),
+        ('"127.0.0.1:8001"', '"localhost:8001"', "listenAddresses.front"),
+        ('"127.0.0.1:8002"', "17", "listenAddresses.ready"),
+        ("[7220, 7235]", '"7220"', "internalPortRange"),
+        ('ipAddress: "127.0.0.1"', 'ipAddress: "host"', "ipAddress"),
+        ('zone: "a-1"', 'zone: "c-1"', "zone"),
+        ("zones: {a-1", "places: {a-1", "zones"),
+        ("heartbeatS: 1.5", "heartbeatS: -1", "heartbeatS"),
+        ('"drainS=3"', '"drainS=soon"', "bounds drainS"),
+        ('address: "127.0.0.1:8669"', "", "platform.address"),
+    ],
+)
+def test_bad_settings_give_one_line_that_names_the_field(
+    old: str, new: str, field: str
+) -> None:
+    failure = read_platform_settings(SETTINGS.replace(old, new), "f.yaml")
+    assert isinstance(failure, Failure)
+    assert failure.reason.startswith(f"f.yaml: {field}: ")
+    assert "\n" not in failure.reason
+
+
+@pytest.mark.parametrize("text", ["", "[1, 2]", "a: [", "just words", "\t:"])
+def test_settings_that_are_no_table_are_refused(text: str) -> None:
+    failure = read_platform_settings(text, "f.yaml")
+    assert isinstance(failure, Failure)
+    assert "\n" not in failure.reason
+
+
+def test_bounds_may_be_one_line() -> None:
+    lines = SETTINGS.split("bounds:")[0] + 'bounds: "drainS=4, graceS=9"\n'
+    text = lines + 'platform: {address: "127.0.0.1:8669"}\n'
+    settings = read_platform_settings(text, "f.yaml")
+    assert isinstance(settings, PlatformSettings)
+    assert (settings.bounds.leaving_s, settings.bounds.grace_s) == (4.0, 9.0)
+    assert len(set(BOUND_FIELDS.values())) == len(BOUND_FIELDS)
+
+
+def test_serve_exits_with_2_on_a_bad_file(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    file = tmp_path / "f.yaml"
+    file.write_text(SETTINGS.replace('region: "a"', "region: 5"))
+    assert main(["serve", "--settings", str(file)]) == 2
+    (line,) = capsys.readouterr().err.strip().split("\n")
+    assert "region: 5; accepted: a text" in line
+
+
+def test_configuration_becomes_a_document_that_our_own_rules_accept() -> None:
+    split = [{"service": "s", "weight": 90}, {"service": "s2", "weight": 10}]
+    paths = [
+        {"name": "r", "prefix": "/r/", "kind": "safe", "service": "s", "priority": 2},
+        {"name": "r", "prefix": "/r/x/", "kind": "upload", "split": split},
+        {
+            "name": "Ünfit name!",
+            "prefix": "/o/",
+            "kind": "unheard-of",
+            "service": "s",
+            "allowAnonymous": True,
+            "allowedRegions": ["a"],
+        },
+    ]
+    value = manifest(
+        services=[{"name": "s"}, {"name": "s2"}],
+        hosts=[{"host": "H.example", "paths": paths}],
+        extra={"ignored": True},
+    )
+    translated = read_manifest(value, REGIONS, 4.0)
+    assert isinstance(translated, Translated)
+    configuration, problems = check_document(translated.document, translated.revision)
+    assert not problems
+    assert configuration.revision == 7
+    first = match_route(configuration, "/r/1", "h.example")
+    second = match_route(configuration, "/r/x/1", "h.example")
+    third = match_route(configuration, "/o/1", "h.example")
+    assert first is not None
+    assert second is not None
+    assert third is not None
+    assert (first.kind, first.priority) == (RouteKind.IDEMPOTENT, 2)
+    assert second.parts == (("s", 90.0), ("s2", 10.0))
+    assert second.kind is third.kind is RouteKind.NON_IDEMPOTENT
+    assert third.is_open
+    assert third.regions == ("a",)
+    assert (first.max_config_age_s, third.max_config_age_s) == (4.0, 0.0)
+    assert match_route(configuration, "/r/1", "other.example") is None
+    assert match_route(configuration, "/r", "h.example") is None
+    assert configuration.account_by_key_hash == {hash_key("k"): "t"}
+    assert "k" not in str(translated.document).split("'")
+
+
+def test_no_tenants_means_that_no_keys_are_needed() -> None:
+    value = json.loads(manifest())
+    del value["tenants"]
+    translated = read_manifest(json.dumps(value).encode(), REGIONS, 4.0)
+    assert isinstance(translated, Translated)
+    assert translated.document["route r"]["open"] == "yes"
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"", b"{", b"[]", b"\xff\xff", b'{"version": "x"}', manifest(hosts={"a": 1})],
+)
+def test_configuration_that_cannot_be_read_is_a_failure(value: bytes) -> None:
+    assert isinstance(read_manifest(value, REGIONS, 4.0), Failure)
+
+
+def server_record(**changes: object) -> bytes:
+    """Write the record of a server."""
+    whole = {
+        "address": "10.0.0.1:80",
+        "instanceInfo": {"service": "s", "version": "v", "zone": "a-1", "slots": 3},
+        "status": {"state": "ready", "sequence": 4, "coldRemainingS": 1.5},
+        "born": 17,
+        **changes,
+    }
+    return json.dumps(whole).encode()
+
+
+def test_server_record_is_decoded() -> None:
+    assert read_server("servers/i-1", server_record()) == ServerListing(
+        "i-1", "s", "10.0.0.1:80", "a-1", False, 3, 17, 1.5, 4
+    )
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"\x00",
+        b"null",
+        server_record(address=None),
+        server_record(address="10.0.0.1"),
+        server_record(status={"state": "resting"}),
+        server_record(status={"sequence": 1}),
+        server_record(instanceInfo={"service": 3, "zone": "a-1"}),
+        server_record(born="yesterday"),
+    ],
+)
+def test_record_of_another_writer_names_no_server(value: bytes) -> None:
+    assert isinstance(read_server("servers/i-1", value), Failure)
+
+
+def test_instance_record_survives_the_round_trip() -> None:
+    peer = PeerListing("n-1", "127.0.0.1:7220", "127.0.0.1:8001", "a-1")
+    key = "rhubarbspan/instances/n-1"
+    assert read_instance(key, write_instance(peer)) == peer
+    assert isinstance(read_instance(key, b"{}"), Failure)
+    assert read_evacuated("op/evacuate/a-1") == "a-1"
+    assert read_evacuated("op/config") == ""
+
+
+def test_request_headers_are_decoded() -> None:
+    fields = read_request(
+        [
+            (b"host", b"Shop.Example:80"),
+            (b"x-request-id", b"r1"),
+            (b"x-deadline-milliseconds", b"1500"),
+            (b"x-credential", b"k"),
+            (b"cookie", b"other=1; X-Affinity-Key=17; more=2"),
+        ]
+    )
+    assert (fields.host, fields.caller_request_id) == ("shop.example", "r1")
+    assert (fields.timeout_s, fields.object_key) == (1.5, "17")
+    assert fields.key_hash == hash_key("k")
+
+
+@pytest.mark.parametrize("value", [b"", b"x", b"-5", b"0", b"inf", b"nan"])
+def test_malformed_deadline_is_told_apart_from_none(value: bytes) -> None:
+    assert read_request([(b"x-deadline-milliseconds", value)]).timeout_s == -1
+    assert read_request([]).timeout_s == 0
+
+
+def test_server_sees_no_key_and_no_header_of_the_connection() -> None:
+    passed = forward_request(
+        [
+            (b"host", b"h"),
+            (b"x-credential", b"secret"),
+            (b"x-tenant-name", b"forged"),
+            (b"x-expected-instance", b"forged"),
+            (b"connection", b"close, X-Hop"),
+            (b"x-hop", b"1"),
+            (b"transfer-encoding", b"chunked"),
+            (b"x-kept", b"1"),
+        ],
+        0.25,
+        "i-1",
+        "ana",
+    )
+    assert passed == [
+        (b"host", b"h"),
+        (b"x-kept", b"1"),
+        (b"x-deadline-milliseconds", b"250"),
+        (b"x-expected-instance", b"i-1"),
+        (b"x-tenant-name", b"ana"),
+    ]
+
+
+def test_answer_headers_are_decoded() -> None:
+    fields = read_answer(
+        [
+            (b"x-request-id", b"r1"),
+            (b"x-response-signature", b"s"),
+            (b"x-server-load", b"3, 1, 8"),
+            (b"keep-alive", b"timeout=9, max=5"),
+        ]
+    )
+    assert fields.load == (3, 1, 8)
+    assert fields.keep_alive_s == 9.0
+    assert fields.is_signed
+    assert not fields.is_not_run
+    assert read_answer([(b"x-server-load", b"many")]).load is None
+
+
+@pytest.mark.parametrize(
+    ("verdict", "status"),
+    [
+        (NotRun(Reason.UNKNOWN_ROUTE), 404),
+        (NotRun(Reason.BAD_KEY), 401),
+        (NotRun(Reason.OVER_RATE), 429),
+        (NotRun(Reason.NOT_READY), 503),
+        (NotRun(Reason.QUARANTINED), 503),
+        (MayHaveRun(Reason.DEADLINE), 504),
+        (MayHaveRun(Reason.CONNECTION_LOST), 502),
+    ],
+)
+def test_status_promises_no_more_than_the_verdict(
+    verdict: NotRun | MayHaveRun, status: int
+) -> None:
+    found, headers = refusal(verdict, 0.25, "r1")
+    assert found == status
+    assert ((b"retry-after", b"0.250") in headers) is isinstance(verdict, NotRun)
+    if isinstance(verdict, MayHaveRun):
+        assert found not in (408, 421, 429, 503)
+
+
+@pytest.mark.parametrize(
+    "file",
+    [
+        file
+        for file in sorted(SOURCE.rglob("*.py"))
+        if not {"platform", "standins"} & set(file.relative_to(SOURCE).parts)
+    ],
+    ids=lambda file: str(file.relative_to(SOURCE)),
+)
+def test_nothing_outside_the_folder_knows_the_platforms_names(file: Path) -> None:
+    text = file.read_text()
+    assert [name for name in WIRE_NAMES if name in text] == []
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        "",
+        "# nothing but a comment\n",
+        "[client_account ana]\nrate_per_s =\nburst = 5\n",
+        "[client_account ana]\nrate_per_s = 5\nburst =\n",
+    ],
+)
+def test_config_check_refuses_empty_files_and_values(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], lines: str
+) -> None:
+    file = tmp_path / "c.ini"
+    file.write_text(lines)
+    assert main(["config", "check", str(file)]) == 2
+    assert capsys.readouterr().err.startswith(str(file))
