--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,13 +1,16 @@
 """Fixtures that the tests share."""
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import pytest
 
+from edge_site import Site, site_document
 from rhubarbspan.document import Document, Snapshot
 from rhubarbspan.inputs import ConfigurationOffered, Input, ServerListing, ServersListed
 from rhubarbspan.policies import Policies
+from rhubarbspan.standins.deployment import Deployment
 from rhubarbspan.tick import run_tick
 from rhubarbspan.verdict import Failure
 from rhubarbspan.wire.ini import read_document
@@ -100,3 +103,45 @@
     for number in range(1, 13):
         run_tick(world, START_S + number * 0.5, [])
     return world
+
+
+@pytest.fixture(scope="module")
+def site() -> Iterator[Site]:
+    """Run a deployment with two daemons and two backend servers."""
+    loop = asyncio.new_event_loop()
+    deployment = Deployment(site_document())
+    found = Site(deployment, loop)
+    found.run(deployment.start())
+    assert found.run(deployment.wait_ready())
+    found.run(asyncio.sleep(1.0))
+    yield found
+    found.run(deployment.stop())
+    tasks = asyncio.all_tasks(loop)
+    for task in tasks:
+        task.cancel()
+    if tasks:
+        found.run(asyncio.wait(tasks))
+    found.run(loop.shutdown_asyncgens())
+    loop.close()
+
+
+@pytest.fixture(autouse=True)
+def healthy(request: pytest.FixtureRequest) -> Iterator[None]:
+    """Mend all stand-ins after each test."""
+    yield
+    if "site" not in request.fixturenames:
+        return
+    site = request.getfixturevalue("site")
+    if not isinstance(site, Site):
+        return
+    for backend in site.deployment.backends.values():
+        backend.faults.truncate_after = -1
+        backend.faults.crash_on = b""
+        backend.faults.error_status = 0
+        backend.service_s = 0.02
+    for daemon in site.deployment.daemons.values():
+        for row in daemon.world.servers.rows():
+            row.ejected_until_s = row.failure_rate = 0.0
+    faults = site.deployment.store.faults
+    faults.is_down = faults.is_garbage = False
+    faults.n_lost_answers = 0
