--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -7,6 +7,7 @@
 from typing import TypeVar
 
 from rhubarbspan.edge.instance import Instance
+from rhubarbspan.edge.lines import LineWriter
 from rhubarbspan.platform.settings import Bounds, PlatformSettings
 from rhubarbspan.standins.deployment import free_address
 from rhubarbspan.standins.platform_server import PlatformServerStandIn
@@ -130,7 +131,9 @@
         for number in range(n_instances):
             await self.add_instance(f"front-a-{number + 1}")
 
-    async def add_instance(self, name: str) -> Instance:
+    async def add_instance(
+        self, name: str, lines: LineWriter | None = None
+    ) -> Instance:
         """Start one more instance."""
         settings = PlatformSettings(
             name,
@@ -144,7 +147,7 @@
             self.store.address,
             bounds=Bounds(grace_s=2.5),
         )
-        instance = Instance(settings)
+        instance = Instance(settings, lines=lines)
         failure = await instance.start()
         assert failure is None, failure
         self.instances.append(instance)
