--- /dev/null
+++ b/tests/test_platform_process.py
@@ -0,0 +1,211 @@
+"""An instance as a process: signals, settings that change, a kill and a return."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import pytest
+
+from platform_site import (
+    HOST,
+    PlatformSite,
+    Reply,
+    manifest,
+    read_reply,
+    request_bytes,
+)
+from rhubarbspan.standins.deployment import free_address
+
+SOURCE = Path(__file__).parent.parent / "src"
+START_S = 10.0
+
+
+@dataclass(slots=True)
+class Process:
+    """A running instance, its settings file and its lines."""
+
+    site: PlatformSite
+    file: Path
+    listen: str
+    running: asyncio.subprocess.Process | None = None
+    lines: list[dict[str, object]] = field(default_factory=list)
+    reading: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Start the process and wait until it serves."""
+        environment = {
+            "PATH": os.environ["PATH"],
+            "PYTHONPATH": str(SOURCE),
+            "RHUBARBSPAN_SETTINGS": str(self.file),
+        }
+        self.running = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "rhubarbspan",
+            "serve",
+            stdout=asyncio.subprocess.PIPE,
+            env=environment,
+        )
+        self.reading = asyncio.create_task(self._read(self.running))
+        async with asyncio.timeout(START_S):
+            while (await self.ask("/look/start")).status != 200:
+                await asyncio.sleep(0.1)
+
+    async def _read(self, running: asyncio.subprocess.Process) -> None:
+        assert running.stdout is not None
+        async for line in running.stdout:
+            self.lines.append(json.loads(line))
+
+    def send_signal(self, number: int) -> None:
+        """Send the process a signal."""
+        assert self.running is not None
+        self.running.send_signal(number)
+
+    async def ended(self) -> int:
+        """Wait for the end of the process and return its status."""
+        assert self.running is not None
+        async with asyncio.timeout(START_S):
+            return await self.running.wait()
+
+    async def has_line(self, text: str) -> None:
+        """Wait until a line holds a text."""
+        async with asyncio.timeout(START_S):
+            while not any(text in str(line.get("text", "")) for line in self.lines):
+                await asyncio.sleep(0.05)
+
+    async def ask(self, target: str, method: str = "GET", body: bytes = b"") -> Reply:
+        """Send one request; a connection that is refused counts as status 0."""
+        host, _, port = self.listen.rpartition(":")
+        try:
+            reader, writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            return Reply(0, {}, b"")
+        writer.write(request_bytes(target, method, body))
+        reply = await read_reply(reader)
+        writer.close()
+        return reply
+
+
+@pytest.fixture
+def process(tmp_path: Path) -> Iterator[Process]:
+    """Return a running process beside a store and two servers."""
+    loop = asyncio.new_event_loop()
+    site = PlatformSite(loop)
+    loop.run_until_complete(site.start(n_instances=0))
+    made = Process(site, tmp_path / "local.yaml", free_address())
+    peer_port = int(free_address().rpartition(":")[2])
+    settings = {
+        "nodeName": "front-a-1-1",
+        "zone": "a-1",
+        "region": "a",
+        "zones": {"a-1": "a", "b-1": "b"},
+        "ipAddress": "127.0.0.1",
+        "listenAddresses": {
+            "front": made.listen,
+            "ready": free_address(),
+            "directory": free_address(),
+        },
+        "internalPortRange": [peer_port, peer_port],
+        "bounds": ["graceS=3"],
+        "platform": {"address": site.store.address},
+    }
+    made.file.write_text(json.dumps(settings))
+    loop.run_until_complete(made.start())
+    yield made
+    assert made.running is not None
+    if made.running.returncode is None:
+        made.running.kill()
+        loop.run_until_complete(made.running.wait())
+    loop.run_until_complete(site.stop())
+    loop.close()
+
+
+def test_hangup_and_changed_settings_cut_nothing_and_a_bad_file_is_refused(
+    process: Process,
+) -> None:
+    async def work() -> Reply:
+        for server in process.site.servers:
+            server.service_s = 0.6
+        task = asyncio.create_task(process.ask("/order/x", "POST", b"b"))
+        await asyncio.sleep(0.2)
+        process.send_signal(signal.SIGHUP)
+        good = process.file.read_text()
+        process.file.write_text(good.replace('"a-1"', '"nowhere"', 1))
+        process.send_signal(signal.SIGHUP)
+        await process.has_line("settings are not taken up")
+        process.file.write_text(good.replace("graceS=3", "graceS=4"))
+        await process.has_line("settings have changed")
+        reply = await task
+        assert (await process.ask("/look/after")).status == 200
+        return reply
+
+    assert process.site.run(work()).status == 200
+
+
+def test_termination_answers_what_was_read_and_exits_with_0(process: Process) -> None:
+    async def work() -> tuple[Reply, int]:
+        for server in process.site.servers:
+            server.service_s = 0.6
+        task = asyncio.create_task(process.ask("/order/x", "POST", b"b"))
+        await asyncio.sleep(0.2)
+        process.send_signal(signal.SIGTERM)
+        reply = await task
+        return reply, await process.ended()
+
+    reply, status = process.site.run(work())
+    assert reply.status == 200
+    assert status == 0
+    key = "rhubarbspan/instances/front-a-1-1"
+    process.site.wait_for(lambda: key not in process.site.store.items, "it is gone")
+
+
+def test_process_that_returns_serves_no_older_configuration(process: Process) -> None:
+    async def work() -> list[int]:
+        paths = [
+            {
+                "name": "new",
+                "prefix": "/new/",
+                "kind": "safe",
+                "service": "shop",
+                "attempts": 2,
+            }
+        ]
+        hosts = [{"host": HOST, "paths": paths}]
+        process.site.store.put("op/config", manifest(5, hosts=hosts))
+        statuses = []
+        async with asyncio.timeout(START_S):
+            while (await process.ask("/new/x")).status != 200:
+                await asyncio.sleep(0.05)
+        process.send_signal(signal.SIGKILL)
+        await process.ended()
+        starting = asyncio.create_task(_restart(process))
+        for _ in range(100):
+            statuses.append((await process.ask("/look/x")).status)
+            await asyncio.sleep(0.03)
+        await starting
+        statuses.append((await process.ask("/new/x")).status)
+        return statuses
+
+    statuses = process.site.run(work())
+    assert set(statuses[:-1]) <= {0, 503, 404}
+    assert statuses[-1] == 200
+
+
+async def _restart(process: Process) -> None:
+    """Start the process again; its routes are others than at the first start."""
+    environment = {
+        "PATH": os.environ["PATH"],
+        "PYTHONPATH": str(SOURCE),
+        "RHUBARBSPAN_SETTINGS": str(process.file),
+    }
+    process.running = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "rhubarbspan", "serve", env=environment
+    )
+    async with asyncio.timeout(START_S):
+        while (await process.ask("/new/x")).status != 200:
+            await asyncio.sleep(0.1)
