Count a split route's choices anew when its weights change

Cause: found while reading the change: the pool that was furthest behind its weight was chosen by counts since the start, so that after a change from 90:10 to 50:50 all requests went to the second pool until the sums agreed (test fails before: 40 of 40). Also: rankings of objects are bounded, and routes that are gone are forgotten; both grew without end. The fixture that mends stand-ins no longer touches other deployments. Ruled out: forgetting counts with each configuration, which favours the larger part.

--- a/src/rhubarbspan/systems/intake.py
+++ b/src/rhubarbspan/systems/intake.py
@@ -12,7 +12,7 @@
 from ..world import World
 from .queueing import longest_lane, note_pool_arrivals
 from .revisions import config_age_s
-from .routing import choose_part, rank_and_regions
+from .routing import choose_part, forget_routes, rank_and_regions
 from .slots import region_slots
 from .suspicion import is_quarantined
 
@@ -35,6 +35,8 @@
 def take_in_requests(world: World, now_s: float, inbox: Inbox) -> Effects:
     """Add a row for each acceptable request and refuse the others."""
     world.new_requests.clear()
+    if world.is_configuration_new:
+        forget_routes(world)
     effects: Effects = []
     for arrived in inbox.of(RequestArrived):
         world.count("requests")
--- a/src/rhubarbspan/systems/placement.py
+++ b/src/rhubarbspan/systems/placement.py
@@ -12,7 +12,7 @@
 from ..configuration import Pool, RouteKind
 from ..effects import Effects, LogRequest, StartAttempt
 from ..inputs import Timer
-from ..tables.objects import RankingRow, UtilisationRow
+from ..tables.objects import N_MAX_RANKINGS, RankingRow, UtilisationRow
 from ..tables.queues import QueueRow
 from ..tables.requests import RequestRow, RequestState
 from ..tables.servers import ServerRow
@@ -316,6 +316,8 @@
     rows.sort(key=lambda server: rendezvous_score(key, server.server_id))
     ranking = RankingRow(world.servers.version, [server.server_id for server in rows])
     if row.arrived.object_key:
+        if len(world.objects.rankings) >= N_MAX_RANKINGS:
+            world.objects.rankings.clear()
         world.objects.rankings[pool, key] = ranking
     return ranking.server_ids
 
--- a/src/rhubarbspan/systems/routing.py
+++ b/src/rhubarbspan/systems/routing.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 
 from ..configuration import Route
+from ..tables.splits import SplitRow
 from ..world import World
 
 
@@ -14,19 +15,33 @@
     """
     if not route.parts:
         return route
-    chosen = world.n_parts_chosen
-    n_all = 1 + sum(chosen[route.name, pool] for pool, _ in route.parts)
+    row = world.splits.get(route.name)
+    if row is None or row.parts != route.parts:
+        # New weights hold for the requests from now on, not for those before.
+        row = SplitRow(route.parts)
+        world.splits[route.name] = row
+    n_all = 1 + row.n_chosen.total()
     total = sum(weight for _, weight in route.parts)
     behind = {
-        pool: n_all * weight / total - chosen[route.name, pool]
+        pool: n_all * weight / total - row.n_chosen[pool]
         for pool, weight in route.parts
         if weight > 0
     }
     pool = max(behind, key=lambda name: behind[name])
-    chosen[route.name, pool] += 1
+    row.n_chosen[pool] += 1
     return replace(route, pool=pool)
 
 
+def forget_routes(world: World) -> None:
+    """Forget what was counted and measured for routes and pools that are gone."""
+    configuration = world.configuration
+    for name in set(world.splits) - set(configuration.routes):
+        del world.splits[name]
+    known = set(configuration.routes) | set(configuration.pools)
+    for name in set(world.objects.services) - known:
+        del world.objects.services[name]
+
+
 def rank_and_regions(
     world: World, route: Route, account_name: str
 ) -> tuple[int, frozenset[str] | None]:
--- a/src/rhubarbspan/tables/objects.py
+++ b/src/rhubarbspan/tables/objects.py
@@ -5,6 +5,8 @@
 
 # How many objects one server is expected to keep in memory.
 N_OBJECTS_PER_SERVER = 24
+# Rankings are made again when they are needed; this bounds the memory for them.
+N_MAX_RANKINGS = 5_000
 SMOOTHING = 0.1
 
 
--- a/src/rhubarbspan/world.py
+++ b/src/rhubarbspan/world.py
@@ -19,6 +19,7 @@
 from .tables.requests import RequestRow, Requests
 from .tables.servers import ServerRow, Servers
 from .tables.slot_loans import SlotLoans
+from .tables.splits import SplitRow
 from .tables.suspects import Suspects
 from .tables.tickets import Tickets
 
@@ -91,7 +92,7 @@
         store_regained_s: When the store answered again after its last outage.
         heartbeats_sent_s: When the latest heartbeats were sent, by their number.
         parts: Part of each account's limit that this instance mints, by demand.
-        n_parts_chosen: Requests by route and pool, of routes that are split.
+        splits: How often each pool of a split route was chosen, by route.
     """
 
     identity: Identity
@@ -128,7 +129,7 @@
     objects: Objects = field(default_factory=Objects)
     evacuated: frozenset[str] = frozenset()
     store_regained_s: float = -1e9
-    n_parts_chosen: Counter[tuple[str, str]] = field(default_factory=Counter)
+    splits: dict[str, SplitRow] = field(default_factory=dict)
     parts: dict[str, float] = field(default_factory=dict)
     heartbeats_sent_s: dict[int, float] = field(default_factory=dict)
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -128,10 +128,9 @@
 @pytest.fixture(autouse=True)
 def healthy(request: pytest.FixtureRequest) -> Iterator[None]:
     """Mend all stand-ins after each test."""
+    has_site = "site" in request.fixturenames
+    site = request.getfixturevalue("site") if has_site else None
     yield
-    if "site" not in request.fixturenames:
-        return
-    site = request.getfixturevalue("site")
     if not isinstance(site, Site):
         return
     for backend in site.deployment.backends.values():
--- a/tests/test_sums.py
+++ b/tests/test_sums.py
@@ -233,5 +233,14 @@
         assert row.state is RequestState.QUEUED
         pools.append(row.route.pool)
     assert 0.08 <= pools.count("other") / len(pools) <= 0.12
+    split["route look"]["split"] = "shop=50, other=50"
+    run_tick(world, 7.0, [ConfigurationOffered(Snapshot(4, split), [], True)])
+    changed = []
+    for number in range(200, 240):
+        run_tick(world, 5.0 + number / 100, [RequestArrived(number, "/look/x", KEY)])
+        row = world.requests.get(number)
+        assert row is not None
+        changed.append(row.route.pool)
+    assert 0.4 <= changed.count("other") / len(changed) <= 0.6
     positions = [n for n, pool in enumerate(pools) if pool == "other"]
     assert max(b - a for a, b in pairwise(positions)) <= 11
