--- a/src/rhubarbspan/edge/feed.py
+++ b/src/rhubarbspan/edge/feed.py
@@ -17,7 +17,7 @@
     StoreContacted,
     StoreRegained,
 )
-from ..platform.manifest import Translated, read_manifest
+from ..platform.configuration import Translated, read_configuration
 from ..platform.records import (
     CONFIGURATION_KEY,
     INSTANCE_PREFIX,
@@ -151,7 +151,7 @@
         if value is None:
             return
         max_age_s = AGE_FRACTION * self._settings.bounds.revocation_s
-        translated = read_manifest(value, self._settings.regions, max_age_s)
+        translated = read_configuration(value, self._settings.regions, max_age_s)
         match translated:
             case Failure(reason=reason):
                 self._note_malformed(CONFIGURATION_KEY, value, reason)
--- a/src/rhubarbspan/platform/manifest.py
+++ b/src/rhubarbspan/platform/configuration.py
@@ -66,7 +66,7 @@
     idleTimeoutS: float = 60.0
 
 
-class _Manifest(msgspec.Struct):
+class _Configuration(msgspec.Struct):
     version: int
     hosts: list[_Host] = []
     services: list[_Service] = []
@@ -74,7 +74,7 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
-_DECODER = msgspec.json.Decoder(_Manifest, strict=False)
+_DECODER = msgspec.json.Decoder(_Configuration, strict=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,7 +85,7 @@
     document: Document
 
 
-def read_manifest(
+def read_configuration(
     value: bytes, regions: dict[str, str], max_age_s: float
 ) -> Translated | Failure:
     """Translate what the operator wrote.
@@ -99,25 +99,25 @@
         The document and its revision, or a failure that says what is wrong.
     """
     try:
-        manifest = _DECODER.decode(value)
+        decoded = _DECODER.decode(value)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         return Failure("malformed", f"configuration: {error}")
     document: Document = {
         f"data_centre {_name(zone)}": {"region": region, "seats": "0"}
         for zone, region in regions.items()
     }
-    for service in manifest.services:
+    for service in decoded.services:
         document[f"pool {_name(service.name)}"] = _translate_service(service)
-    for tenant in manifest.tenants or []:
+    for tenant in decoded.tenants or []:
         document[f"client_account {_name(tenant.name)}"] = _translate_tenant(tenant)
-    needs_keys = manifest.tenants is not None
-    for host in manifest.hosts:
+    needs_keys = decoded.tenants is not None
+    for host in decoded.hosts:
         for path in host.paths:
             title = _unused(document, f"route {_name(path.name or path.prefix)}")
             section = _translate_path(host.host, path, needs_keys, max_age_s)
             document[title] = section
-    document["limits callers"] = _translate_limits(manifest.limits)
-    return Translated(manifest.version, document)
+    document["limits callers"] = _translate_limits(decoded.limits)
+    return Translated(decoded.version, document)
 
 
 def _unused(document: Document, title: str) -> str:
--- a/src/rhubarbspan/publishing.py
+++ b/src/rhubarbspan/publishing.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from .checking import Problem, check_document
+from .checking import check_document
 from .document import (
     Change,
     Document,
@@ -28,6 +28,7 @@
     Store,
     Verb,
 )
+from .sections import Problem
 from .verdict import Failure
 
 ROOT = "rhubarbspan/config"
--- /dev/null
+++ b/src/rhubarbspan/sections.py
@@ -0,0 +1,178 @@
+"""Sections of a document: their options, and reading typed values from them."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TypeVar
+
+from .document import Section
+
+E = TypeVar("E", bound=Enum)
+
+
+@dataclass(frozen=True, slots=True)
+class Option:
+    """One key of a section: its unit, default and accepted range, for the docs."""
+
+    key: str
+    accepted: str
+    default: str | None
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """One error in a document."""
+
+    section: str
+    key: str
+    value: str
+    accepted: str
+
+    def describe(self, file: str) -> str:
+        """Write the problem as one line."""
+        shown = "missing" if self.value == "" else repr(self.value)
+        return (
+            f"{file}: [{self.section}] {self.key}: {shown}; accepted: {self.accepted}"
+        )
+
+
+OPTIONS: dict[str, tuple[Option, ...]] = {
+    "route": (
+        Option("pool", "the name of a pool", None),
+        Option("path_prefix", "a path that starts with /, except /-/", None),
+        Option("kind", "idempotent, non_idempotent, at_most_once", None),
+        Option("open", "yes or no", "no"),
+        Option("timeout_s", "0.01 to 3600 seconds", "10"),
+        Option("max_config_age_s", "0 to 86400 seconds, 0 for no bound", "0"),
+        Option("availability_objective", "0 to 0.99999", "0.999"),
+        Option("latency_objective_s", "0.001 to 3600 seconds", "1"),
+        Option("host", "the name of a host, or nothing for all hosts", ""),
+        Option("attempts", "1 to 100 backend servers for one request", "4"),
+        Option("priority", "0 to 1000, 0 first", "0"),
+        Option("regions", "regions separated by commas, or nothing for all", ""),
+        Option("affinity", "yes or no", "no"),
+        Option("split", "POOL=WEIGHT pairs separated by commas", ""),
+    ),
+    "pool": (
+        Option("slots_per_server", "1 to 10000", "3"),
+        Option("connections_per_server", "1 to 100000", "350"),
+        Option("max_queued", "0 to 100000", "200"),
+        Option("ramp_s", "0 to 3600 seconds", "10"),
+        Option("cold_rate_per_s", "0 to 1000000 requests per second", "1000000"),
+    ),
+    "client_account": (
+        Option("rate_per_s", "0 to 1000000 requests per second", None),
+        Option("burst", "1 to 1000000 requests", None),
+        Option("key_hashes", "SHA-256 hashes in hexadecimal, separated by commas", ""),
+        Option("priority", "-1 to 1000, 0 first, -1 for the route's", "-1"),
+        Option("regions", "regions separated by commas, or nothing for all", ""),
+    ),
+    "data_centre": (
+        Option("region", "a name", None),
+        Option("seats", "0 to 1000", "1"),
+        Option("gone", "yes or no", "no"),
+        Option("client_blocks", "IP networks separated by commas", ""),
+    ),
+    "link": (
+        Option("regions", "two regions separated by a comma", None),
+        Option("cap_mbit_per_s", "0.001 to 1000000 Mbit per second", None),
+    ),
+    "shift": (
+        Option("pool", "the name of a pool", None),
+        Option("from_region", "a region", None),
+        Option("to_region", "another region", None),
+        Option("cap_requests_per_s", "0 to 1000000 requests per second", None),
+        Option("pace_requests_per_s2", "0.001 to 1000000 requests per second²", "1"),
+        Option("fraction", "0 to 1", "1"),
+    ),
+    "limits": (
+        Option("head_bytes", "1 to 1000000 bytes", "16384"),
+        Option("body_bytes", "0 to 1000000000000 bytes", "67108864"),
+        Option("head_timeout_s", "0.01 to 3600 seconds", "10"),
+        Option("idle_timeout_s", "0.01 to 3600 seconds", "60"),
+    ),
+    "drain": (
+        Option("kind", "instance, backend_server, data_centre", None),
+        Option("target", "a name", None),
+    ),
+}
+
+
+@dataclass(slots=True)
+class SectionReader:
+    """Reads typed values from one section and collects the problems."""
+
+    title: str
+    body: Section
+    problems: list[Problem]
+    options: dict[str, Option] = field(default_factory=dict)
+
+    def text(self, key: str) -> str:
+        """Read a value or its default; record a problem if neither exists."""
+        option = self.options[key]
+        value = self.body.get(key, option.default)
+        if value is None:
+            self.reject(key, "")
+            return ""
+        return value.strip()
+
+    def reject(self, key: str, value: str, accepted: str | None = None) -> None:
+        """Record that a value is not accepted."""
+        shown = accepted or self.options[key].accepted
+        self.problems.append(Problem(self.title, key, value, shown))
+
+    def number(self, key: str, low: float, high: float) -> float:
+        """Read a number in a closed range."""
+        return self.parsed(key, float, low, high)
+
+    def integer(self, key: str, low: int, high: int) -> int:
+        """Read a whole number in a closed range."""
+        return int(self.parsed(key, int, low, high))
+
+    def parsed(
+        self, key: str, parse: Callable[[str], float], low: float, high: float
+    ) -> float:
+        """Read a value with a parser and check its range."""
+        text = self.text(key)
+        if not text:
+            if key in self.body:
+                self.reject(key, text)
+            return low
+        try:
+            value = parse(text)
+        except ValueError:
+            self.reject(key, text)
+            return low
+        if not low <= value <= high:
+            self.reject(key, text)
+            return low
+        return value
+
+    def choice(self, key: str, kind: type[E]) -> E:
+        """Read one of the values of an enumeration."""
+        text = self.text(key)
+        for member in kind:
+            if member.value == text:
+                return member
+        if text:
+            self.reject(key, text)
+        return next(iter(kind))
+
+    def flag(self, key: str) -> bool:
+        """Read yes or no."""
+        text = self.text(key)
+        if text not in ("yes", "no"):
+            self.reject(key, text)
+        return text == "yes"
+
+    def items(self, key: str) -> tuple[str, ...]:
+        """Read a list separated by commas."""
+        parts = (part.strip() for part in self.text(key).split(","))
+        return tuple(part for part in parts if part)
+
+    def reference(self, key: str, known: set[str], kind: str) -> str:
+        """Read the name of something that must exist."""
+        text = self.text(key)
+        if text and text not in known:
+            self.reject(key, text, f"the name of an existing {kind}")
+        return text
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,7 @@
 import pytest
 
 from edge_site import Site, site_document
+from platform_site import PlatformSite
 from rhubarbspan.document import Document, Snapshot
 from rhubarbspan.inputs import ConfigurationOffered, Input, ServerListing, ServersListed
 from rhubarbspan.policies import Policies
@@ -144,3 +145,22 @@
     faults = site.deployment.store.faults
     faults.is_down = faults.is_garbage = False
     faults.n_lost_answers = 0
+
+
+@pytest.fixture
+def deployed() -> Iterator[PlatformSite]:
+    """Return a running deployment with one instance and two servers."""
+    loop = asyncio.new_event_loop()
+    running = PlatformSite(loop)
+    loop.run_until_complete(running.start())
+    running.wait_for(lambda: _serves(running), "the instance serves")
+    yield running
+    loop.run_until_complete(running.stop())
+    loop.close()
+
+
+def _serves(site: PlatformSite) -> bool:
+    world = site.instances[0].world
+    bucket = world.buckets.get("ana")
+    has_tokens = bucket is not None and bucket.n_tokens > 100
+    return bool(world.configuration.revision and world.servers.rows() and has_tokens)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from rhubarbspan.checking import OPTIONS
 from rhubarbspan.cli import build_parser
+from rhubarbspan.sections import OPTIONS
 from rhubarbspan.settings import SECTIONS
 from rhubarbspan.verdict import Reason
 from rhubarbspan.wire.http import MAY_HAVE_RUN_STATUS, NOT_RUN_STATUS
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -10,13 +10,13 @@
 from rhubarbspan.cli import main
 from rhubarbspan.configuration import RouteKind, match_route
 from rhubarbspan.inputs import PeerListing, ServerListing
+from rhubarbspan.platform.configuration import Translated, read_configuration
 from rhubarbspan.platform.headers import (
     forward_request,
     read_answer,
     read_request,
     refusal,
 )
-from rhubarbspan.platform.manifest import Translated, read_manifest
 from rhubarbspan.platform.records import (
     read_evacuated,
     read_instance,
@@ -170,7 +170,7 @@
         hosts=[{"host": "H.example", "paths": paths}],
         extra={"ignored": True},
     )
-    translated = read_manifest(value, REGIONS, 4.0)
+    translated = read_configuration(value, REGIONS, 4.0)
     assert isinstance(translated, Translated)
     configuration, problems = check_document(translated.document, translated.revision)
     assert not problems
@@ -196,7 +196,7 @@
 def test_no_tenants_means_that_no_keys_are_needed() -> None:
     value = json.loads(manifest())
     del value["tenants"]
-    translated = read_manifest(json.dumps(value).encode(), REGIONS, 4.0)
+    translated = read_configuration(json.dumps(value).encode(), REGIONS, 4.0)
     assert isinstance(translated, Translated)
     assert translated.document["route r"]["open"] == "yes"
 
@@ -206,7 +206,7 @@
     [b"", b"{", b"[]", b"\xff\xff", b'{"version": "x"}', manifest(hosts={"a": 1})],
 )
 def test_configuration_that_cannot_be_read_is_a_failure(value: bytes) -> None:
-    assert isinstance(read_manifest(value, REGIONS, 4.0), Failure)
+    assert isinstance(read_configuration(value, REGIONS, 4.0), Failure)
 
 
 def server_record(**changes: object) -> bytes:
