Count a server that refuses connections as cold

Change: a refused connection, which shows that no process listens, marks the server as cold for the pool's time from then on. Time-outs do not, since they come from cuts of links too.

--- a/src/rhubarbspan/edge/upstream.py
+++ b/src/rhubarbspan/edge/upstream.py
@@ -160,11 +160,9 @@
 
     async def _attempt(self, transfer: Transfer, effect: StartAttempt) -> Outcome:
         deadline_s = self._loop.time() + effect.timeout_s
-        connection = await self._connect(
-            effect, transfer.caller_request_id, deadline_s
-        )
-        if connection is None:
-            return ConnectFailed()
+        connection = await self._connect(effect, transfer.caller_request_id, deadline_s)
+        if isinstance(connection, ConnectFailed):
+            return connection
         is_reusable = False
         try:
             async with asyncio.timeout_at(deadline_s):
@@ -187,7 +185,7 @@
 
     async def _connect(
         self, effect: StartAttempt, caller_request_id: str, deadline_s: float
-    ) -> Connection | None:
+    ) -> Connection | ConnectFailed:
         idle = self._pop_idle(effect, caller_request_id)
         if idle is not None:
             return idle
@@ -198,8 +196,8 @@
                 _, channel = await self._loop.create_connection(
                     Channel, host.strip("[]"), int(port)
                 )
-        except (OSError, TimeoutError):
-            return None
+        except (OSError, TimeoutError) as error:
+            return ConnectFailed(isinstance(error, ConnectionRefusedError))
         self._ticker.world.count("connections_opened")
         return Connection(channel, effect.address, self._loop.time())
 
--- a/src/rhubarbspan/inputs.py
+++ b/src/rhubarbspan/inputs.py
@@ -69,7 +69,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ConnectFailed:
-    """The connection could not be established, so no byte was sent."""
+    """The connection could not be established, so no byte was sent.
+
+    Attributes:
+        is_refused: Whether the machine refused it, so that no process listens there.
+    """
+
+    is_refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/rhubarbspan/systems/outcomes.py
+++ b/src/rhubarbspan/systems/outcomes.py
@@ -85,7 +85,9 @@
             if server is not None:
                 server.misdirected_incarnation = server.incarnation
             return effects + _requeue_declined(world, now_s, row)
-        case ConnectFailed():
+        case ConnectFailed(is_refused=is_refused):
+            if is_refused and server is not None:
+                _expect_cold_return(world, now_s, server)
             effects += _update_failure_rate(world, now_s, server, True)
             verdict = NotRun(Reason.CONNECT_FAILED)
             return effects + _retry_or_fail(world, now_s, row, verdict)
@@ -112,6 +114,16 @@
             return effects + fail_request(world, now_s, row, MayHaveRun(reason))
 
 
+def _expect_cold_return(world: World, now_s: float, server: ServerRow) -> None:
+    """Count a server that refuses connections as cold: its process will start anew.
+
+    While the store is unreachable no record tells of the new process.
+    """
+    pool = world.configuration.pools.get(server.pool)
+    if pool is not None:
+        server.cold_until_s = max(server.cold_until_s, now_s + pool.ramp_s)
+
+
 def _free_slot(world: World, row: RequestRow, was_shed: bool) -> None:
     record_end(world, row)
     server = world.servers.get(row.server_id)
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -334,7 +334,7 @@
                 seat,
                 effect.request_id,
                 effect.attempt_id,
-                ConnectFailed(),
+                ConnectFailed(is_refused=True),
                 effect.server_id,
             )
             self._end_at(self.now_s + TICK_S, refused)
