--- a/src/rhubarbspan/edge/feed.py
+++ b/src/rhubarbspan/edge/feed.py
@@ -1,12 +1,13 @@
 """Watches the platform's store and publishes its contents as inputs."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
 
 import logbook
 
 from ..document import Snapshot
+from ..effects import StoreAccess
 from ..inputs import (
     ConfigurationReceived,
     EvacuationsListed,
@@ -15,8 +16,10 @@
     RevisionConfirmed,
     ServerListing,
     ServersListed,
+    StoreRead,
     StoreRecovered,
 )
+from ..peer_messages import StoreItem, StoreUpdate
 from ..platform.configuration import TranslatedConfiguration, translate_configuration
 from ..platform.records import (
     CONFIGURATION_KEY,
@@ -27,7 +30,7 @@
     decode_server,
     evacuated_data_centre,
 )
-from ..platform.settings import PlatformSettings
+from ..platform.settings import Bounds, PlatformSettings
 from ..platform.store import Item, PlatformStore, Reading
 from ..verdict import Failure
 from .ticker import Ticker
@@ -37,18 +40,34 @@
 # whose connection has become silent is detected only when its wait is over.
 WATCH_WAIT_S = 1.6
 # Servers report often, so that a watch on them returns at once. The pause limits the
-# number of calls; the pause and the wait limit the age of a report.
-SERVERS_PAUSE_S = 0.9
+# number of calls; the pause and the wait limit the age of a report. It is a fraction of
+# the time for which a leaving server may still get requests.
+SERVERS_PAUSE_FRACTION = 0.36
 # Instances exchange heartbeats; the list is needed only to discover new ones.
 INSTANCES_WAIT_S = 5.0
 INSTANCES_PAUSE_S = 1.0
 RETRY_DELAY_S = 0.25
+BACKUP_RETRY_DELAY_S = 2.0
 # By the platform's documentation, a watch may report a change up to a second late.
 MAX_WATCH_LAG_S = 1.0
 # Largest age of a configuration, as a fraction of the time after which a revoked key
 # must be rejected; the rest allows for clock error. Time in a queue does not count,
 # since the bound applies to when a request was sent.
 MAX_AGE_FRACTION = 0.95
+# Delay of a watch and of the message that passes its result on.
+LISTING_MARGIN_S = 0.6
+# Stands for the time of a confirmation that is not one.
+NEVER_S = -1e9
+
+
+def servers_pause_s(bounds: Bounds) -> float:
+    """Return the pause between two watches of the servers."""
+    return SERVERS_PAUSE_FRACTION * bounds.leaving_s
+
+
+def max_listing_gap_s(bounds: Bounds) -> float:
+    """Return the longest time between two readings of the servers, with a margin."""
+    return WATCH_WAIT_S + servers_pause_s(bounds) + LISTING_MARGIN_S
 
 
 @dataclass(slots=True)
@@ -61,6 +80,8 @@
         revision: Revision of the store that the copy is at, 0 if it must be read anew.
         values: Values by key.
         is_failing: Whether the last call failed.
+        may_read: Set while this instance has to read: when it is a reader, or when the
+            copy must be read anew.
     """
 
     prefix: str
@@ -69,16 +90,28 @@
     revision: int = 0
     values: dict[str, bytes | None] = field(default_factory=dict)
     is_failing: bool = False
+    may_read: asyncio.Event = field(default_factory=asyncio.Event)
 
 
 class Feed:
     """Watches three prefixes: the operator's, the servers' and the instances'.
 
+    An instance that does not read the store itself gets its changes from those of its
+    data centre that do.
+
     Attributes:
         settings: The settings in force; replaced when they change.
     """
 
-    __slots__ = ("_ticker", "_store", "settings", "_tasks", "_malformed")
+    __slots__ = (
+        "_ticker",
+        "_store",
+        "settings",
+        "_tasks",
+        "_malformed",
+        "_mirrors",
+        "_access",
+    )
 
     def __init__(
         self, ticker: Ticker, store: PlatformStore, settings: PlatformSettings
@@ -88,15 +121,47 @@
         self.settings = settings
         self._tasks: set[asyncio.Task[None]] = set()
         self._malformed: dict[str, bytes | None] = {}
+        self._mirrors: dict[str, Mirror] = {}
+        self._access = StoreAccess.READER
 
     def start(self) -> None:
         """Start the watches."""
-        operator = Mirror(OPERATOR_PREFIX, WATCH_WAIT_S, 0.0)
-        servers = Mirror(SERVER_PREFIX, WATCH_WAIT_S, SERVERS_PAUSE_S)
-        instances = Mirror(INSTANCE_PREFIX, INSTANCES_WAIT_S, INSTANCES_PAUSE_S)
-        self._spawn(self._follow(operator, self._publish_operator))
-        self._spawn(self._follow(servers, self._publish_servers))
-        self._spawn(self._follow(instances, self._publish_instances))
+        pause_s = servers_pause_s(self.settings.bounds)
+        mirrors = [
+            Mirror(OPERATOR_PREFIX, WATCH_WAIT_S, 0.0),
+            Mirror(SERVER_PREFIX, WATCH_WAIT_S, pause_s),
+            Mirror(INSTANCE_PREFIX, INSTANCES_WAIT_S, INSTANCES_PAUSE_S),
+        ]
+        for mirror in mirrors:
+            mirror.may_read.set()
+            self._mirrors[mirror.prefix] = mirror
+            self._spawn(self._follow(mirror))
+
+    def set_access(self, access: StoreAccess) -> None:
+        """Begin or stop to watch the store; a watch that is waiting is completed."""
+        self._access = access
+        LOG.info("access to the store: {}", access.value)
+        for mirror in self._mirrors.values():
+            if access is not StoreAccess.FOLLOWER:
+                mirror.may_read.set()
+            elif mirror.revision:
+                mirror.may_read.clear()
+
+    def apply_update(self, update: StoreUpdate) -> None:
+        """Apply what another instance read, unless it is older than the own copy.
+
+        If changes before it are missing, the copy is read anew.
+        """
+        mirror = self._mirrors.get(update.prefix)
+        if mirror is None or update.revision < mirror.revision:
+            return
+        if update.after > mirror.revision:
+            mirror.revision = 0
+            mirror.may_read.set()
+            return
+        items = [Item(row.key, row.value, row.is_deleted) for row in update.items]
+        _apply(mirror, Reading(items, update.revision), update.after == 0)
+        self._publish(mirror, None)
 
     async def stop(self) -> None:
         """Stop the watches."""
@@ -109,22 +174,28 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _follow(
-        self, mirror: Mirror, publish: Callable[[Mirror, float], None]
-    ) -> None:
+    async def _follow(self, mirror: Mirror) -> None:
         """Read all values under a prefix, then watch it for changes.
 
         After a failure all values are read again, since changes may have been missed.
         """
         while True:
+            await mirror.may_read.wait()
             requested_s = self._ticker.now_s()
+            after = mirror.revision
             is_full_read = mirror.revision == 0
+            is_stale = self._access is not StoreAccess.READER and not is_full_read
             if is_full_read:
                 reading = await self._store.read_range(mirror.prefix)
             else:
                 reading = await self._store.watch(
-                    mirror.prefix, mirror.revision, mirror.wait_s
+                    mirror.prefix, mirror.revision, mirror.wait_s, is_stale
                 )
+            if isinstance(reading, Failure) and is_stale:
+                # The reader's updates keep the copy current.
+                self._ticker.world.count("store_failures", reading.code)
+                await asyncio.sleep(BACKUP_RETRY_DELAY_S)
+                continue
             if isinstance(reading, Failure):
                 self._record_failure(mirror, reading)
                 await asyncio.sleep(RETRY_DELAY_S)
@@ -133,15 +204,47 @@
                 mirror.is_failing = False
                 LOG.info("{}: the store answers again", mirror.prefix)
                 self._ticker.inputs.on_next(StoreRecovered())
+            if mirror.revision != after:
+                # Another instance's reading was applied meanwhile, and is newer or
+                # will be followed by one that is.
+                continue
             _apply(mirror, reading, is_full_read)
             is_wait_over = self._ticker.now_s() - requested_s >= mirror.wait_s
             if not is_full_read and not reading.items and is_wait_over:
                 # The watch found no change, so the copy is current up to the end of the
                 # wait, less the lag of a watch.
                 requested_s += max(0.0, mirror.wait_s - MAX_WATCH_LAG_S)
-            publish(mirror, requested_s)
+            self._publish(mirror, None if is_stale else requested_s)
+            self._pass_on(mirror, reading, after, is_stale)
+            if self._access is StoreAccess.FOLLOWER:
+                mirror.may_read.clear()
             await asyncio.sleep(mirror.pause_s)
 
+    def _pass_on(
+        self, mirror: Mirror, reading: Reading, after: int, is_stale: bool
+    ) -> None:
+        items = [StoreItem(row.key, row.value, row.is_deleted) for row in reading.items]
+        next_within_s = mirror.wait_s + mirror.pause_s
+        update = StoreUpdate(
+            mirror.prefix, after, mirror.revision, items, next_within_s, is_stale
+        )
+        self._ticker.inputs.on_next(StoreRead(update))
+
+    def _publish(self, mirror: Mirror, requested_s: float | None) -> None:
+        """Publish a copy of the store.
+
+        Args:
+            mirror: The copy.
+            requested_s: When the read was sent, or None if another instance read it:
+                its message may have been long on its way.
+        """
+        if mirror.prefix == OPERATOR_PREFIX:
+            self._publish_operator(mirror, requested_s)
+        elif mirror.prefix == SERVER_PREFIX:
+            self._publish_servers(mirror)
+        else:
+            self._publish_instances(mirror)
+
     def _record_failure(self, mirror: Mirror, failure: Failure) -> None:
         self._ticker.world.count("store_failures", failure.code)
         mirror.revision = 0
@@ -149,7 +252,7 @@
             mirror.is_failing = True
             LOG.warning("{}: {}", mirror.prefix, failure.reason)
 
-    def _publish_operator(self, mirror: Mirror, requested_s: float) -> None:
+    def _publish_operator(self, mirror: Mirror, requested_s: float | None) -> None:
         data_centres = {evacuated_data_centre(key) for key in mirror.values} - {""}
         self._ticker.inputs.on_next(EvacuationsListed(frozenset(data_centres)))
         value = mirror.values.get(CONFIGURATION_KEY)
@@ -162,17 +265,18 @@
                 self._report_malformed(CONFIGURATION_KEY, value, reason)
             case TranslatedConfiguration(revision=revision, document=document):
                 state = self._ticker.world.configuration_state
+                confirmed_s = NEVER_S if requested_s is None else requested_s
                 if revision == state.snapshot.revision:
                     self._ticker.inputs.on_next(
-                        RevisionConfirmed(revision, requested_s)
+                        RevisionConfirmed(revision, confirmed_s)
                     )
                 else:
                     received = ConfigurationReceived(
-                        Snapshot(revision, document), [], True, requested_s
+                        Snapshot(revision, document), [], True, confirmed_s
                     )
                     self._ticker.inputs.on_next(received)
 
-    def _publish_servers(self, mirror: Mirror, requested_s: float) -> None:
+    def _publish_servers(self, mirror: Mirror) -> None:
         by_pool: dict[str, list[ServerListing]] = {
             pool: [] for pool in self._ticker.world.configuration.pools
         }
@@ -185,7 +289,7 @@
         for pool, servers in by_pool.items():
             self._ticker.inputs.on_next(ServersListed(pool, servers))
 
-    def _publish_instances(self, mirror: Mirror, requested_s: float) -> None:
+    def _publish_instances(self, mirror: Mirror) -> None:
         peers: list[PeerListing] = []
         for key, value in mirror.values.items():
             peer = decode_instance(key, value or b"")
--- a/src/rhubarbspan/edge/instance.py
+++ b/src/rhubarbspan/edge/instance.py
@@ -15,6 +15,7 @@
 from ..clock import read_clock_s
 from ..effects import (
     AbortAttempt,
+    ApplyStoreUpdate,
     Effect,
     Exit,
     FinishRequest,
@@ -22,6 +23,7 @@
     LogLevel,
     LogRequest,
     SendPeerMessage,
+    SetStoreAccess,
     StartAttempt,
     WriteClaim,
 )
@@ -31,7 +33,7 @@
 from ..policies import DemandShares, ObjectPlacement, Policies
 from ..verdict import Failure
 from ..world import Identity, create_world
-from .feed import Feed
+from .feed import Feed, max_listing_gap_s
 from .front import Front
 from .lines import LineHandler, LineWriter
 from .lookups import LookupServer
@@ -48,9 +50,6 @@
 # Fraction of the allowed retries that instances use. The margin is needed because each
 # instance counts only its own retries.
 RETRY_FRACTION = 0.6
-# Largest number of instances in a deployment; each uses an equal part of the slack for
-# retries.
-N_MAX_INSTANCES = 12
 # An instance that leaves stops serving this long before its grace period ends.
 GRACE_PERIOD_MARGIN_S = 1.6
 # Fraction of the allowed slack for requests to cold servers that instances use. The
@@ -74,7 +73,8 @@
         heartbeat_interval_s=HEARTBEAT_INTERVAL_S,
         dead_after_s=DEAD_AFTER_S,
         retries_per_request=RETRY_FRACTION * bounds.retry_ratio,
-        n_max_retries=max(1.0, RETRY_FRACTION * bounds.retry_slack / N_MAX_INSTANCES),
+        n_max_retries=RETRY_FRACTION * bounds.retry_slack,
+        is_retry_budget_shared=True,
         do_sheds_use_retry_budget=True,
         burst_slack=bounds.limit_slack,
         limit_overage=bounds.limit_overage,
@@ -83,6 +83,7 @@
         cold_overage=bounds.cold_overage,
         cold_slack=COLD_SLACK_FRACTION * bounds.cold_slack,
         max_region_step=min(1.0, REGION_STEP_FRACTION * bounds.region_step),
+        max_listing_gap_s=max_listing_gap_s(bounds),
         serve_leaving_s=max(0.0, bounds.grace_s - GRACE_PERIOD_MARGIN_S),
     )
 
@@ -213,6 +214,10 @@
                 self._upstream.abort(effect)
             case SendPeerMessage():
                 self._peers.send(effect)
+            case SetStoreAccess(access=access):
+                self._feed.set_access(access)
+            case ApplyStoreUpdate(update=update):
+                self._feed.apply_update(update)
             case WriteClaim(request_id=request_id):
                 # No route on the platform requires a claim, so this is not expected.
                 LOG.warning(
--- a/src/rhubarbspan/effects.py
+++ b/src/rhubarbspan/effects.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from .peer_messages import PeerMessage
+from .peer_messages import PeerMessage, StoreUpdate
 from .verdict import Verdict
 
 
@@ -57,6 +57,31 @@
     message: PeerMessage
 
 
+class StoreAccess(Enum):
+    """How an instance learns what the store holds."""
+
+    # Reads the store, and passes on what it reads.
+    READER = "reader"
+    # Reads what the store calls stale, at a fraction of the price, beside a reader.
+    BACKUP = "backup"
+    # Is told by the readers of its data centre.
+    FOLLOWER = "follower"
+
+
+@dataclass(slots=True)
+class SetStoreAccess:
+    """Change how the instance learns what the store holds."""
+
+    access: StoreAccess
+
+
+@dataclass(slots=True)
+class ApplyStoreUpdate:
+    """Apply what another instance read from the store."""
+
+    update: StoreUpdate
+
+
 @dataclass(slots=True)
 class WriteClaim:
     """Create a claim in the store if it is absent.
@@ -116,6 +141,8 @@
     | StartAttempt
     | AbortAttempt
     | SendPeerMessage
+    | SetStoreAccess
+    | ApplyStoreUpdate
     | WriteClaim
     | LogChange
     | LogRequest
--- a/src/rhubarbspan/inputs.py
+++ b/src/rhubarbspan/inputs.py
@@ -5,7 +5,7 @@
 from typing import TypeVar, cast
 
 from .document import Change, Snapshot
-from .peer_messages import PeerMessage
+from .peer_messages import PeerMessage, StoreUpdate
 
 T = TypeVar("T")
 
@@ -173,6 +173,13 @@
     n_slots: int
 
 
+@dataclass(slots=True)
+class StoreRead:
+    """This instance read from the store."""
+
+    update: StoreUpdate
+
+
 @dataclass(slots=True)
 class StoreRecovered:
     """The store is reachable again after an outage."""
@@ -312,6 +319,7 @@
     | ServersListed
     | EvacuationsListed
     | ServerLoadReported
+    | StoreRead
     | StoreRecovered
     | PeersListed
     | ProbeSucceeded
--- a/src/rhubarbspan/peer_messages.py
+++ b/src/rhubarbspan/peer_messages.py
@@ -76,6 +76,8 @@
         echo_age_s: Time since that heartbeat was received.
         uptime_s: Time since the start of the incarnation. Earlier versions do not send
             it; the default treats them as started long ago.
+        refusing_servers_s: Backend servers whose machines refused a connection, with
+            the remaining time for which they count as cold.
     """
 
     seat: str
@@ -94,6 +96,7 @@
     echoed_sequence: int = 0
     echo_age_s: float = 0.0
     uptime_s: float = 1e9
+    refusing_servers_s: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -227,7 +230,12 @@
 
 @dataclass(slots=True)
 class TokenGrant:
-    """The holder lends tokens until ``requested_s`` plus ``term_s``."""
+    """The holder lends tokens until ``requested_s`` plus ``term_s``.
+
+    Attributes:
+        denied: Tokens that the holder will not lend, as they will not be there in time.
+        retry_after_s: Time after which it may have a token for a denied request.
+    """
 
     seat: str
     incarnation: int
@@ -235,6 +243,8 @@
     requested_s: float
     term_s: float
     loans: list[TokenLoan]
+    denied: list[TokenWant] = field(default_factory=list)
+    retry_after_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -296,6 +306,77 @@
     shed_loan_ids: list[int] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class MemberState:
+    """An instance of the data centre that a summary describes.
+
+    Attributes:
+        uptime_s: Time since the start of the incarnation.
+        silent_s: Time since its last heartbeat.
+        revision: Configuration revision that it reported.
+    """
+
+    seat: str
+    incarnation: int
+    uptime_s: float
+    silent_s: float
+    revision: int
+    is_leaving: bool = False
+
+
+@dataclass(slots=True)
+class DataCentreSummary:
+    """The instances of the sender's data centre and the demand there.
+
+    Attributes:
+        members: The other live instances of the data centre.
+        demands: Rate of requests by account; only those that changed, unless complete.
+        uptime_s: Time since the start of the sender.
+        revision: Configuration revision of the sender.
+        is_passed_on: Whether an instance of the receiver's data centre passed it on.
+        age_s: Time since the summary was made.
+    """
+
+    seat: str
+    incarnation: int
+    data_centre: str
+    members: list[MemberState]
+    demands: dict[str, float]
+    is_complete: bool
+    uptime_s: float = 1e9
+    revision: int = 0
+    is_passed_on: bool = False
+    age_s: float = 0.0
+
+
+@dataclass(slots=True)
+class StoreItem:
+    """A key of the store; the value is None if it cannot be decoded or was deleted."""
+
+    key: str
+    value: bytes | None
+    is_deleted: bool = False
+
+
+@dataclass(slots=True)
+class StoreUpdate:
+    """What a reader read from the store under a prefix.
+
+    Attributes:
+        after: Revision after which the items follow; 0 if they are all there are.
+        revision: Revision of the store up to which they are complete.
+        next_within_s: Time within which the reader promises its next reading.
+        is_stale: Whether the store may have held newer items than it returned.
+    """
+
+    prefix: str
+    after: int
+    revision: int
+    items: list[StoreItem]
+    next_within_s: float
+    is_stale: bool = False
+
+
 PeerMessage = (
     Heartbeat
     | ConfigurationRequest
@@ -308,4 +389,6 @@
     | SlotRequest
     | SlotGrant
     | SlotReturn
+    | DataCentreSummary
+    | StoreUpdate
 )
--- a/src/rhubarbspan/platform/store.py
+++ b/src/rhubarbspan/platform/store.py
@@ -121,13 +121,17 @@
             after = page.items[-1].key
 
     async def watch(
-        self, prefix: str, revision: int, wait_s: float
+        self, prefix: str, revision: int, wait_s: float, may_be_stale: bool = False
     ) -> Reading | Failure:
-        """Wait up to `wait_s` for changes under a prefix after a revision."""
+        """Wait up to `wait_s` for changes under a prefix after a revision.
+
+        With `may_be_stale` the call costs a tenth, and changes may be seconds late.
+        """
         query = {
             "prefix": prefix,
             "after": str(revision),
             "waitMs": str(int(wait_s * MS_PER_S)),
+            **({"staleOk": "1"} if may_be_stale else {}),
         }
         body = await self._call("GET", "kv-watch", query, wait_s + CALL_TIMEOUT_S)
         if isinstance(body, Failure):
--- a/src/rhubarbspan/policies.py
+++ b/src/rhubarbspan/policies.py
@@ -64,7 +64,9 @@
         dead_after_s: Silence after which a peer counts as dead.
         retries_per_request: Retries that each request adds to the retry budget of its
             pool.
-        n_max_retries: The largest retry budget of a pool.
+        n_max_retries: The largest retry budget of a pool, over all instances together
+            if ``is_retry_budget_shared``.
+        is_retry_budget_shared: Whether the instances divide that budget equally.
         do_sheds_use_retry_budget: Whether sending a request again after a server shed
             it uses up a retry of the budget.
         burst_slack: Requests of an account that all instances together may admit beyond
@@ -79,6 +81,8 @@
         cold_slack: Requests per second to a cold server that are allowed in addition.
         max_region_step: Fraction of the requests that may change the region in which
             they run from one window to the next, or 1 for no bound.
+        max_listing_gap_s: Longest time between two lists of servers while the store can
+            be reached.
         serve_leaving_s: How long an instance that stops gracefully goes on serving.
     """
 
@@ -89,6 +93,7 @@
     dead_after_s: float = 0.7
     retries_per_request: float = 0.1
     n_max_retries: float = 20.0
+    is_retry_budget_shared: bool = False
     do_sheds_use_retry_budget: bool = False
     burst_slack: float = 0.0
     limit_overage: float = 0.0
@@ -97,5 +102,6 @@
     cold_overage: float = 1.0
     cold_slack: float = 0.0
     max_region_step: float = 1.0
+    max_listing_gap_s: float = float("inf")
     # The lifetime of a look-up answer, plus one second until peers know of the stop.
     serve_leaving_s: float = 4.0
--- a/src/rhubarbspan/systems/admission.py
+++ b/src/rhubarbspan/systems/admission.py
@@ -1,5 +1,7 @@
 """Admits requests for tokens of their client account, some after a short wait."""
 
+import math
+
 from ..effects import Effects, SendPeerMessage
 from ..inputs import Inbox, Timer
 from ..peer_messages import LoanReport, TokenGrant, TokenLoan, TokenRequest, TokenWant
@@ -22,6 +24,7 @@
 from .completion import fail_request
 from .holder_choice import live_holder
 from .share_ownership import SHIFT_PREFIX, startup_s
+from .token_loans import denies
 
 MAX_WAIT_S = 0.5
 REQUEST_TIMEOUT_S = 0.45
@@ -86,7 +89,7 @@
     while bucket.waiters:
         waiter = bucket.waiters.popleft()
         if waiter.borrower:
-            n_ahead += _serve_peer(world, now_s, bucket, waiter, grants, kept)
+            n_ahead += _serve_peer(world, now_s, bucket, waiter, grants, kept, n_ahead)
             continue
         row = world.requests.get(waiter.request_id)
         if row is None or row.state is not RequestState.ADMITTING:
@@ -111,6 +114,7 @@
             continue
         kept.append(waiter)
     bucket.waiters.extend(kept)
+    effects += _refuse_denied(world, now_s, bucket)
     effects += [SendPeerMessage(seat, grant) for (seat, _), grant in grants.items()]
     return effects
 
@@ -152,9 +156,15 @@
     waiter: WaiterRow,
     grants: dict[tuple[str, float], TokenGrant],
     kept: list[WaiterRow],
+    n_ahead: int,
 ) -> int:
-    """Lend tokens to a peer and return the number that it still waits for."""
+    """Lend tokens to a peer and return the number that it still waits for.
+
+    What will not be there in time is denied, so that requests are refused at once.
+    """
     if waiter.until_s <= now_s:
+        if denies(world):
+            _deny(world, bucket, waiter, waiter.n_tokens, n_ahead, grants)
         return 0
     n_tokens = min(waiter.n_tokens, n_lendable(bucket, now_s))
     if kept:
@@ -162,24 +172,35 @@
     if n_tokens > 0:
         _lend(world, now_s, bucket, waiter, n_tokens, grants)
         waiter.n_tokens -= n_tokens
+    rate_per_s = refill_rate_per_s(bucket)
+    n_in_time = bucket.n_tokens - n_ahead + rate_per_s * (waiter.until_s - now_s)
+    n_denied = min(waiter.n_tokens, math.ceil(waiter.n_tokens - n_in_time))
+    if n_denied > 0 and denies(world):
+        _deny(world, bucket, waiter, n_denied, n_ahead, grants)
+        waiter.n_tokens -= n_denied
     if waiter.n_tokens > 0:
         kept.append(waiter)
     return waiter.n_tokens
 
 
-def _lend(
+def _deny(
     world: World,
-    now_s: float,
     bucket: BucketRow,
     waiter: WaiterRow,
     n_tokens: int,
+    n_ahead: int,
     grants: dict[tuple[str, float], TokenGrant],
 ) -> None:
-    bucket.n_tokens -= n_tokens
-    world.n_loans += 1
-    until_s = now_s + lender_term_s(TOKEN_TERM_S)
-    loan = LoanRow(world.n_loans, waiter.borrower, n_tokens, n_tokens, until_s)
-    bucket.loans[loan.loan_id] = loan
+    rate_per_s = refill_rate_per_s(bucket)
+    grant = _grant_for(world, waiter, grants)
+    grant.denied.append(TokenWant(bucket.account, n_tokens))
+    grant.retry_after_s = (n_ahead + 1) / rate_per_s if rate_per_s > 0 else 1.0
+
+
+def _grant_for(
+    world: World, waiter: WaiterRow, grants: dict[tuple[str, float], TokenGrant]
+) -> TokenGrant:
+    """Return the grant that answers a peer's request; create it if it is missing."""
     key = (waiter.borrower, waiter.requested_s)
     if key not in grants:
         own_identity = world.identity
@@ -191,7 +212,45 @@
             TOKEN_TERM_S,
             [],
         )
-    grants[key].loans.append(TokenLoan(loan.loan_id, bucket.account, n_tokens))
+    return grants[key]
+
+
+def _refuse_denied(world: World, now_s: float, bucket: BucketRow) -> Effects:
+    """Refuse the newest waiting requests, as many as the holder denied a token."""
+    effects: Effects = []
+    kept: list[WaiterRow] = []
+    while bucket.n_denied > 0 and bucket.waiters:
+        waiter = bucket.waiters.pop()
+        row = world.requests.get(waiter.request_id)
+        if waiter.borrower or row is None:
+            kept.append(waiter)
+            continue
+        bucket.n_denied -= 1
+        world.count("refused_over_rate", bucket.account)
+        inputs = _describe_limit(world, now_s, bucket)
+        verdict = NotRun(Reason.OVER_RATE)
+        retry_after_s = bucket.denied_retry_after_s
+        effects += fail_request(world, now_s, row, verdict, retry_after_s, inputs)
+    bucket.waiters.extend(reversed(kept))
+    bucket.n_denied = 0
+    return effects
+
+
+def _lend(
+    world: World,
+    now_s: float,
+    bucket: BucketRow,
+    waiter: WaiterRow,
+    n_tokens: int,
+    grants: dict[tuple[str, float], TokenGrant],
+) -> None:
+    bucket.n_tokens -= n_tokens
+    world.n_loans += 1
+    until_s = now_s + lender_term_s(TOKEN_TERM_S)
+    loan = LoanRow(world.n_loans, waiter.borrower, n_tokens, n_tokens, until_s)
+    bucket.loans[loan.loan_id] = loan
+    grant = _grant_for(world, waiter, grants)
+    grant.loans.append(TokenLoan(loan.loan_id, bucket.account, n_tokens))
 
 
 def _admit(world: World, now_s: float, row: RequestRow) -> None:
--- a/src/rhubarbspan/systems/health.py
+++ b/src/rhubarbspan/systems/health.py
@@ -8,6 +8,7 @@
 from ..inputs import (
     EvacuationsListed,
     Inbox,
+    PeerMessageReceived,
     PeersListed,
     ProbeFailed,
     ProbeSucceeded,
@@ -17,6 +18,7 @@
     StoreRecovered,
     Timer,
 )
+from ..peer_messages import Heartbeat
 from ..tables.servers import ServerRow
 from ..world import World
 from .slots import N_PROBES_TO_FAIL, assign_servers
@@ -40,9 +42,15 @@
         world.store_recovered_s = now_s
     for evacuations in inbox.of(EvacuationsListed):
         effects += _apply_evacuations(world, now_s, evacuations)
+    for received in inbox.of(PeerMessageReceived):
+        match received.message:
+            case Heartbeat(refusing_servers_s=refusing_s) if refusing_s:
+                _mark_refusing(world, now_s, refusing_s)
     for load in inbox.of(ServerLoadReported):
         _update_load(world, now_s, load)
     listings = inbox.of(ServersListed)
+    if listings:
+        world.servers_listed_s = now_s
     for listed in listings:
         effects += _update_listing(world, now_s, listed)
     for probed in inbox.of(ProbeSucceeded):
@@ -162,6 +170,16 @@
     return effects
 
 
+def _mark_refusing(world: World, now_s: float, refusing_s: dict[str, float]) -> None:
+    """Count servers as cold that refused connections to peers."""
+    for server_id, remaining_s in refusing_s.items():
+        row = world.servers.get(server_id)
+        if row is not None:
+            until_s = now_s + remaining_s
+            row.refused_until_s = max(row.refused_until_s, until_s)
+            row.cold_until_s = max(row.cold_until_s, until_s)
+
+
 def _update_load(world: World, now_s: float, load: ServerLoadReported) -> None:
     """Update the number of requests at a server that this instance did not send."""
     row = world.servers.get(load.server_id)
--- a/src/rhubarbspan/systems/intake.py
+++ b/src/rhubarbspan/systems/intake.py
@@ -10,6 +10,7 @@
 from ..tables.requests import RequestRow, RequestState
 from ..verdict import NotRun, Reason
 from ..world import World
+from .fleet_layout import known_seats
 from .quarantine import is_quarantined
 from .queueing import longest_lane, record_pool_arrivals
 from .revisions import config_age_s
@@ -56,6 +57,13 @@
     return effects
 
 
+def _max_retry_budget(world: World) -> float:
+    n_max_retries = world.policies.n_max_retries
+    if not world.policies.is_retry_budget_shared:
+        return n_max_retries
+    return max(1.0, n_max_retries / (1 + len(known_seats(world))))
+
+
 def may_be_decided_early(world: World, path: str, host: str) -> bool:
     """Return whether a request may be decided before earlier ones are answered.
 
@@ -167,6 +175,6 @@
     queue = world.queues.queue_of(route.pool)
     record_pool_arrivals(queue, now_s, 1)
     queue.retry_budget = min(
-        world.policies.n_max_retries,
+        _max_retry_budget(world),
         queue.retry_budget + world.policies.retries_per_request,
     )
--- a/src/rhubarbspan/systems/limit_sharing.py
+++ b/src/rhubarbspan/systems/limit_sharing.py
@@ -27,6 +27,7 @@
 from .demand_fractions import update_demand_fractions
 from .share_ownership import (
     confirm_seats,
+    startup_s,
     sync_buckets,
     update_owned_shares,
     update_unconfirmed_seats,
@@ -57,7 +58,7 @@
     if inbox.due(Timer.HEARTBEAT):
         match world.policies.limits:
             case DemandShares():
-                update_demand_fractions(world, now_s)
+                update_demand_fractions(world, now_s, startup_s(world))
                 update_owned_shares(world, now_s)
             case PooledShares() | StaticShares() | Uncoordinated():
                 effects += renew_delegations(world, now_s)
--- a/src/rhubarbspan/systems/membership.py
+++ b/src/rhubarbspan/systems/membership.py
@@ -5,18 +5,33 @@
 from ..effects import Effects, LogChange, LogLevel, SendPeerMessage
 from ..inputs import Inbox, PeerMessageReceived, PeersListed, Timer
 from ..peer_messages import AccountDemand, Heartbeat, PoolLoad, SuspectNotice
+from ..policies import (
+    LeastInFlight,
+    ObjectPlacement,
+    OwnedSlots,
+    RandomChoice,
+    TwoChoices,
+)
 from ..tables.peers import PeerRow
 from ..world import World
 from .bucketing import holds_delegated_shares, smoothed_demand_per_s
+from .fleet_layout import (
+    N_HEARTBEATS_PER_SUMMARY,
+    counterpart_relays,
+    is_relay,
+    is_two_level,
+    local_peers,
+)
 from .revisions import config_age_s
 from .slots import n_free_slots, n_usable_slots, owned_servers
 
-# With more peers than this, an instance sends heartbeats only to some of them.
-N_DIRECT_PEERS = 16
 # Send times of this many recent heartbeats are kept, to compute the age of the
 # heartbeat that a peer echoes.
 N_HEARTBEATS_KEPT = 64
 MAX_CONFIG_AGE_S = 1e6
+# Summaries of a data centre that may be late or lost before its instances count as
+# silent.
+N_SUMMARIES_MISSED = 2
 MIN_DEMAND_PER_S = 0.01
 # Key of the regular heartbeats; other keys are for unscheduled ones.
 PERIODIC = ""
@@ -45,18 +60,10 @@
 def heartbeat_receivers(world: World) -> list[PeerRow]:
     """List the peers that this instance sends heartbeats to.
 
-    With up to ``N_DIRECT_PEERS`` peers these are all peers. In a larger fleet they
-    are only peers of the own data centre and the next seats in the order of names,
-    wrapping around.
+    In a fleet of two levels they are those of the own data centre.
     """
-    rows = [row for row in world.peers.rows() if row.peer_address]
-    if len(rows) <= N_DIRECT_PEERS:
-        return rows
-    own = world.identity
-    local_peers = [row for row in rows if row.data_centre == own.data_centre]
-    ring = sorted(rows, key=lambda row: (row.seat <= own.seat, row.seat))
-    chosen = {row.seat: row for row in [*local_peers[:N_DIRECT_PEERS], *ring[:4]]}
-    return list(chosen.values())
+    rows = local_peers(world) if is_two_level(world) else world.peers.rows()
+    return [row for row in rows if row.peer_address]
 
 
 def _update_listing(world: World, listing: PeersListed) -> None:
@@ -117,8 +124,15 @@
 
 def _mark_silent_peers(world: World, now_s: float) -> Effects:
     effects: Effects = []
+    own_data_centre = world.identity.data_centre
+    # Of instances in other data centres, relays tell in their summaries.
+    interval_s = world.policies.heartbeat_interval_s
+    delay_s = N_SUMMARIES_MISSED * N_HEARTBEATS_PER_SUMMARY * interval_s
+    summary_delay_s = delay_s if is_two_level(world) else 0.0
     for row in world.peers.alive():
-        if now_s - row.last_heard_s > world.policies.dead_after_s:
+        is_local = row.data_centre == own_data_centre
+        dead_after_s = world.policies.dead_after_s + summary_delay_s * (not is_local)
+        if now_s - row.last_heard_s > dead_after_s:
             row.is_alive = False
             level = LogLevel.INFO if row.is_leaving else LogLevel.WARNING
             state = "has left" if row.is_leaving else "is silent"
@@ -143,13 +157,28 @@
         address=own.address,
         peer_address=own.peer_address,
         uptime_s=now_s - world.started_s,
+        refusing_servers_s={
+            row.server_id: round(row.refused_until_s - now_s, 2)
+            for row in world.servers.rows()
+            if row.refused_until_s > now_s
+        },
     )
     world.heartbeats_sent_s[world.heartbeat_sequence] = now_s
     world.heartbeats_sent_s.pop(world.heartbeat_sequence - N_HEARTBEATS_KEPT, None)
-    return [
+    effects: Effects = [
         SendPeerMessage(row.seat, _add_echo(heartbeat, row, now_s))
         for row in heartbeat_receivers(world)
     ]
+    is_summary_due = world.heartbeat_sequence % N_HEARTBEATS_PER_SUMMARY == 0
+    if is_summary_due and is_two_level(world) and is_relay(world):
+        # Relays confirm the configuration to each other, and pass on suspects. Their
+        # summaries tell the rest.
+        brief = replace(heartbeat, loads=[], demands=[])
+        effects += [
+            SendPeerMessage(row.seat, _add_echo(brief, row, now_s))
+            for row in counterpart_relays(world)
+        ]
+    return effects
 
 
 def _add_echo(heartbeat: Heartbeat, row: PeerRow, now_s: float) -> Heartbeat:
@@ -165,6 +194,12 @@
 
 
 def _describe_loads(world: World, now_s: float) -> list[PoolLoad]:
+    """Describe the load of the own servers, if instances own servers."""
+    match world.policies.choice:
+        case ObjectPlacement():
+            return []
+        case OwnedSlots() | RandomChoice() | TwoChoices() | LeastInFlight():
+            pass
     loads = []
     for pool in world.configuration.pools.values():
         servers = owned_servers(world, pool.name)
--- a/src/rhubarbspan/systems/outcomes.py
+++ b/src/rhubarbspan/systems/outcomes.py
@@ -117,11 +117,16 @@
 def _expect_cold_return(world: World, now_s: float, server: ServerRow) -> None:
     """Count a server that refuses connections as cold: its process will start anew.
 
-    While the store is unreachable no record tells of the new process.
+    While the store is unreachable no record tells of the new process, so peers are
+    told.
     """
     pool = world.configuration.pools.get(server.pool)
-    if pool is not None:
-        server.cold_until_s = max(server.cold_until_s, now_s + pool.ramp_s)
+    if pool is None:
+        return
+    if server.refused_until_s < now_s:
+        world.deadlines.arm(now_s, Timer.HEARTBEAT, "refused")
+    server.refused_until_s = now_s + pool.ramp_s
+    server.cold_until_s = max(server.cold_until_s, server.refused_until_s)
 
 
 def _free_slot(world: World, row: RequestRow, was_shed: bool) -> None:
--- a/src/rhubarbspan/systems/placement.py
+++ b/src/rhubarbspan/systems/placement.py
@@ -21,6 +21,7 @@
 from ..world import World
 from .bucketing import rendezvous_score
 from .completion import fail_request
+from .fleet_layout import known_seats
 from .quarantine import is_quarantined, must_wait, record_start
 from .queueing import pop_next_request, undo_pop
 from .rebalancing import capped_regions, record_sent
@@ -282,6 +283,8 @@
     if n_in_flight >= n_slots + N_MAX_WAITING_IN_SERVER or server.shed_until_s > now_s:
         return None
     factor = 1.0
+    if _may_have_restarted(world, now_s, server):
+        server.cold_until_s = max(server.cold_until_s, now_s + pool.ramp_s)
     if now_s < server.cold_until_s:
         if not _may_send_to_cold(world, now_s, pool, server):
             return None
@@ -311,6 +314,16 @@
     return Candidate(server, cost_s, is_warm, expected_s, n_ahead)
 
 
+def _may_have_restarted(world: World, now_s: float, server: ServerRow) -> bool:
+    """Return whether a server may have restarted in an outage of the store.
+
+    Nothing tells of the restart of a server that got no requests meanwhile.
+    """
+    listed_s = world.servers_listed_s
+    is_overdue = now_s - listed_s > world.policies.max_listing_gap_s
+    return is_overdue and server.last_success_s < listed_s
+
+
 def _is_warm(world: World, row: RequestRow, server: ServerRow) -> bool:
     key = warm_key(row)
     return bool(key) and world.objects.is_warm(server.server_id, key)
@@ -369,7 +382,7 @@
     """
     policies = world.policies
     rate_per_s = pool.cold_rate_per_s * policies.cold_overage + policies.cold_slack
-    seats = [peer.seat for peer in world.peers.alive()]
+    seats = known_seats(world)
     n_allowed = int(rate_per_s / (1 + len(seats)))
     if n_allowed < 1:
         own_score = rendezvous_score(server.server_id, world.identity.seat)
--- a/src/rhubarbspan/systems/share_ownership.py
+++ b/src/rhubarbspan/systems/share_ownership.py
@@ -15,7 +15,7 @@
 from ..tables.peers import PeerRow
 from ..world import World
 from .bucketing import capacity, lender_term_s, owned_share, refill
-from .demand_fractions import demand_fraction
+from .demand_fractions import MIN_PRESENT_FRACTION, demand_fraction
 
 DELEGATION_TERM_S = 0.9
 # After a start the owned share is not used for this long: a delegation of it by an
@@ -25,6 +25,9 @@
 # each listed peer.
 DEMAND_STARTUP_S = 0.7
 SHIFT_PREFIX = "shift:"
+# Requests of an account at its limit that each data centre gets in a half-life.
+N_ARRIVALS_PER_HALF_LIFE = 1.0
+MAX_HALF_LIFE_S = 4.0
 FOREVER_S = 1e18
 REMOVED_BUCKET_TTL_S = 10.0
 # Fraction of the permitted overage that is given out as extra burst. The rest covers
@@ -42,8 +45,10 @@
     for bucket in world.buckets.rows():
         if bucket.account not in limits:
             _retire_bucket(world, now_s, bucket)
+    accounts = world.configuration.client_accounts
     for name, (rate, burst) in limits.items():
-        half_life_s = world.policies.demand_half_life_s
+        limited = accounts.get(name)
+        half_life_s = _demand_half_life_s(world, limited.rate_per_s if limited else 0)
         bucket = world.buckets.get(name) or BucketRow(
             name, refilled_s=now_s, half_life_s=half_life_s
         )
@@ -59,6 +64,22 @@
             bucket_of_shift.ramp_start_s = now_s
 
 
+def _demand_half_life_s(world: World, rate_per_s: float) -> float:
+    """Return the half-life of an arrival in the smoothed demand of an account.
+
+    It is longer if the data centres get so few of the account's requests that their
+    demands would otherwise be mostly noise.
+    """
+    n_data_centres = len(world.configuration.data_centres)
+    enough_s = N_ARRIVALS_PER_HALF_LIFE * n_data_centres / max(rate_per_s, 0.1)
+    half_life_s = world.policies.demand_half_life_s
+    match world.policies.limits:
+        case DemandShares():
+            return min(MAX_HALF_LIFE_S, max(half_life_s, enough_s))
+        case PooledShares() | StaticShares() | Uncoordinated():
+            return half_life_s
+
+
 def _retire_bucket(world: World, now_s: float, bucket: BucketRow) -> None:
     """Set a removed account's owned share to zero, and remove the bucket later.
 
@@ -79,9 +100,7 @@
             return account.rate_per_s, account.burst
         case DemandShares():
             fraction = demand_fraction(world, account.name)
-            slack = burst_slack(world.policies, account) / (1 + len(world.peers.rows()))
-            burst = max(1.0, min(account.burst, account.burst * fraction + slack))
-            return account.rate_per_s * fraction, burst
+            return _held_share(world, account, fraction)
         case PooledShares() | StaticShares():
             return owned_share(
                 account.name,
@@ -92,12 +111,26 @@
             )
 
 
+def _held_share(
+    world: World, account: ClientAccount, fraction: float
+) -> tuple[float, float]:
+    """Return the rate and burst that a holder refills for its data centre."""
+    if fraction <= 0:
+        return 0.0, 0.0
+    division = world.limit_division
+    slack = burst_slack(world.policies, account) / division.n_data_centres
+    burst = account.burst * fraction + slack * division.present_fraction
+    if division.present_fraction >= MIN_PRESENT_FRACTION:
+        burst = max(1.0, burst)
+    return account.rate_per_s * fraction, min(account.burst, burst)
+
+
 def burst_slack(policies: Policies, account: ClientAccount) -> float:
     """Return how many tokens the instances may hold in all beyond an account's burst.
 
-    They are divided evenly, so that bursts of requests get tokens also at an instance
-    with a small fraction of the demand. The rate is not exceeded: the instances' rates
-    sum to the limit.
+    They are divided evenly over the data centres, so that bursts of requests get tokens
+    also in one with a small fraction of the demand. The rate is not exceeded: the rates
+    of the data centres sum to the limit.
     """
     in_window = account.rate_per_s * policies.limit_window_s + account.burst
     slack = policies.burst_slack + policies.limit_overage * in_window
--- /dev/null
+++ b/src/rhubarbspan/systems/store_readers.py
@@ -0,0 +1,67 @@
+"""Decides which instances read the store, and passes on what they read.
+
+In a fleet of two levels one relay of each data centre reads for its other instances,
+and the next one reads beside it what the store calls stale: that costs a tenth and is
+seldom behind, so that the loss of the reader leaves no gap. An instance that hears of
+no reading for longer than the readers promised reads for itself, those that come first
+in the order of names first.
+"""
+
+from ..effects import (
+    ApplyStoreUpdate,
+    Effects,
+    SendPeerMessage,
+    SetStoreAccess,
+    StoreAccess,
+)
+from ..inputs import Inbox, PeerMessageReceived, StoreRead, Timer
+from ..peer_messages import StoreUpdate
+from ..world import World
+from .fleet_layout import N_RELAYS, is_two_level, local_peers, local_rank
+
+# Time allowed beyond the promised time of the next reading, and for each instance that
+# comes before in the order in which they begin to read.
+READER_MARGIN_S = 0.6
+TAKEOVER_STEP_S = 0.25
+
+
+def share_store_reads(world: World, now_s: float, inbox: Inbox) -> Effects:
+    """Pass readings on to the instances that do not read, and apply those of others."""
+    effects: Effects = []
+    for read in inbox.of(StoreRead):
+        if world.store_access is not StoreAccess.FOLLOWER and is_two_level(world):
+            effects += _pass_on(world, read.update)
+    for received in inbox.of(PeerMessageReceived):
+        match received.message:
+            case StoreUpdate() as update:
+                if not update.is_stale:
+                    due_s = now_s + update.next_within_s
+                    world.store_updates_due_s[update.prefix] = due_s
+                effects.append(ApplyStoreUpdate(update))
+    if inbox.due(Timer.HEARTBEAT):
+        access = _choose_access(world, now_s)
+        if access is not world.store_access:
+            world.store_access = access
+            effects.append(SetStoreAccess(access))
+    return effects
+
+
+def _pass_on(world: World, update: StoreUpdate) -> Effects:
+    return [
+        SendPeerMessage(row.seat, update)
+        for row in local_peers(world)
+        if row.is_alive and not row.is_leaving
+    ]
+
+
+def _choose_access(world: World, now_s: float) -> StoreAccess:
+    if not is_two_level(world) or not world.has_peer_list:
+        return StoreAccess.READER
+    rank = local_rank(world)
+    if rank == 0 and world.departure is None:
+        return StoreAccess.READER
+    overdue_s = READER_MARGIN_S + TAKEOVER_STEP_S * (rank - 1)
+    due_s = world.store_updates_due_s.values()
+    if not due_s or now_s > min(due_s) + overdue_s:
+        return StoreAccess.READER
+    return StoreAccess.BACKUP if rank < N_RELAYS else StoreAccess.FOLLOWER
--- /dev/null
+++ b/src/rhubarbspan/systems/summaries.py
@@ -0,0 +1,165 @@
+"""Exchanges summaries of data centres between relays, and passes them on to peers.
+
+A summary tells which instances of a data centre are alive and what its accounts
+demand. Demands that have hardly changed are left out, except now and then.
+"""
+
+from dataclasses import replace
+
+from ..effects import Effects, LogChange, LogLevel, SendPeerMessage
+from ..inputs import Inbox, PeerMessageReceived, Timer
+from ..peer_messages import DataCentreSummary, MemberState
+from ..tables.peers import PeerRow
+from ..world import World
+from .bucketing import smoothed_demand_per_s
+from .fleet_layout import (
+    N_HEARTBEATS_PER_SUMMARY,
+    counterpart_relays,
+    is_relay,
+    is_two_level,
+    local_peers,
+)
+
+# Summaries between two complete ones.
+N_SUMMARIES_PER_COMPLETE_ONE = 5
+# A demand is sent again once it has changed by this fraction and this rate.
+CHANGED_FRACTION = 0.15
+CHANGED_RATE_PER_S = 0.05
+
+
+def exchange_summaries(world: World, now_s: float, inbox: Inbox) -> Effects:
+    """Apply and pass on summaries of other data centres, and send that of the own."""
+    effects: Effects = []
+    for received in inbox.of(PeerMessageReceived):
+        match received.message:
+            case DataCentreSummary() as summary:
+                effects += _handle_summary(world, now_s, summary)
+    is_due = world.heartbeat_sequence % N_HEARTBEATS_PER_SUMMARY == 0
+    if inbox.due(Timer.HEARTBEAT) and is_due and is_two_level(world):
+        effects += _send_summary(world, now_s)
+    return effects
+
+
+def _send_summary(world: World, now_s: float) -> Effects:
+    if not is_relay(world):
+        return []
+    number = world.heartbeat_sequence // N_HEARTBEATS_PER_SUMMARY
+    is_complete = number % N_SUMMARIES_PER_COMPLETE_ONE == 0
+    own = world.identity
+    demands = local_demands(world, now_s)
+    sent = world.data_centres.sent_demands
+    changed = {
+        account: demand
+        for account, demand in demands.items()
+        if is_complete or _has_changed(sent.get(account, 0.0), demand)
+    }
+    if is_complete:
+        sent.clear()
+    else:
+        changed.update({account: 0.0 for account in sent if account not in demands})
+    sent.update(changed)
+    summary = DataCentreSummary(
+        own.seat,
+        own.incarnation,
+        own.data_centre,
+        [
+            _describe_member(world, now_s, row)
+            for row in local_peers(world)
+            if row.is_alive
+        ],
+        changed,
+        is_complete,
+        uptime_s=round(now_s - world.started_s, 1),
+        revision=world.configuration.revision,
+    )
+    return [SendPeerMessage(row.seat, summary) for row in counterpart_relays(world)]
+
+
+def _has_changed(sent_per_s: float, demand_per_s: float) -> bool:
+    difference = abs(sent_per_s - demand_per_s)
+    return difference > CHANGED_RATE_PER_S + CHANGED_FRACTION * sent_per_s
+
+
+def _describe_member(world: World, now_s: float, row: PeerRow) -> MemberState:
+    return MemberState(
+        row.seat,
+        row.incarnation,
+        round(now_s - row.started_s, 1),
+        round(max(0.0, now_s - row.last_heard_s), 1),
+        row.revision,
+        row.is_leaving,
+    )
+
+
+def local_demands(world: World, now_s: float) -> dict[str, float]:
+    """Return the demand of each account in the own data centre, where there is any."""
+    demands: dict[str, float] = {}
+    for bucket in world.buckets.rows():
+        demand = smoothed_demand_per_s(bucket, now_s)
+        for row in local_peers(world):
+            reported = row.demands.get(bucket.account)
+            if row.is_alive and reported is not None:
+                demand += reported.rate_per_s
+        if demand > CHANGED_RATE_PER_S:
+            demands[bucket.account] = round(demand, 2)
+    return demands
+
+
+def _handle_summary(world: World, now_s: float, summary: DataCentreSummary) -> Effects:
+    own = world.identity
+    if summary.data_centre == own.data_centre:
+        return []
+    as_of_s = now_s - summary.age_s
+    effects = _update_members(world, as_of_s, summary)
+    row = world.data_centres.get_or_create(summary.data_centre)
+    if summary.is_complete and as_of_s >= row.as_of_s:
+        row.demands = {}
+    row.demands.update(summary.demands)
+    row.as_of_s = max(row.as_of_s, as_of_s)
+    if summary.is_passed_on:
+        return effects
+    passed_on = replace(summary, is_passed_on=True)
+    return effects + [
+        SendPeerMessage(peer.seat, passed_on)
+        for peer in local_peers(world)
+        if peer.is_alive
+    ]
+
+
+def _update_members(
+    world: World, as_of_s: float, summary: DataCentreSummary
+) -> Effects:
+    """Update the rows of a data centre's instances, which send no heartbeats here."""
+    effects: Effects = []
+    sender = MemberState(
+        summary.seat, summary.incarnation, summary.uptime_s, 0.0, summary.revision
+    )
+    members = [sender, *summary.members]
+    for member in members:
+        row = world.peers.get(member.seat)
+        if row is None:
+            region = world.configuration.region_of(summary.data_centre)
+            row = PeerRow(member.seat, summary.data_centre, region)
+            world.peers.add(row)
+        if member.incarnation < row.incarnation:
+            continue
+        if member.incarnation > row.incarnation:
+            row.incarnation = member.incarnation
+            row.sequence = 0
+            row.started_s = as_of_s - member.uptime_s
+        row.last_heard_s = max(row.last_heard_s, as_of_s - member.silent_s)
+        row.revision = max(row.revision, member.revision)
+        row.is_leaving = member.is_leaving
+        if not row.is_alive:
+            row.is_alive = True
+            text = f"instance {row.seat} is alive"
+            effects.append(LogChange(LogLevel.INFO, text))
+    alive = {member.seat for member in members}
+    for row in world.peers.rows():
+        if row.data_centre != summary.data_centre or row.seat in alive:
+            continue
+        if row.is_alive and row.last_heard_s < as_of_s - world.policies.dead_after_s:
+            row.is_alive = False
+            text = f"instance {row.seat} is silent"
+            effects.append(LogChange(LogLevel.INFO, text))
+    return effects
--- a/src/rhubarbspan/systems/token_loans.py
+++ b/src/rhubarbspan/systems/token_loans.py
@@ -1,11 +1,16 @@
 """Handles requests for tokens and loans of tokens between a holder and its peers."""
 
 from ..peer_messages import LoanReport, TokenGrant, TokenRequest
+from ..policies import DemandShares, PooledShares, StaticShares, Uncoordinated
 from ..tables.buckets import BorrowedRow, BucketRow, LoanRow, WaiterRow
 from ..world import World
 from .bucketing import capacity, refill
 
 WAITER_TERM_S = 0.45
+# How long a request of a peer waits at a holder that denies what will not be there in
+# time. It is well below the term of the tokens, which counts from the request: tokens
+# that are lent late could not be spent.
+DENYING_WAITER_TERM_S = 0.2
 
 
 def handle_token_request(world: World, now_s: float, request: TokenRequest) -> None:
@@ -23,12 +28,24 @@
                 0,
                 requested.n_tokens,
                 request.requested_s,
-                now_s + WAITER_TERM_S,
+                now_s + (DENYING_WAITER_TERM_S if denies(world) else WAITER_TERM_S),
             )
         )
         world.changed_accounts[bucket.account] = None
 
 
+def denies(world: World) -> bool:
+    """Return whether a holder tells peers at once that it will not lend tokens.
+
+    Otherwise their requests wait for as long as their own instance lets them.
+    """
+    match world.policies.limits:
+        case DemandShares():
+            return True
+        case PooledShares() | StaticShares() | Uncoordinated():
+            return False
+
+
 def _apply_reports(world: World, now_s: float, request: TokenRequest) -> None:
     for report in request.reports:
         bucket = world.buckets.get(report.account)
@@ -59,6 +76,14 @@
     until_s = grant.requested_s + grant.term_s
     if grant.borrower_incarnation != world.identity.incarnation:
         return
+    for denied in grant.denied:
+        bucket = world.buckets.get(denied.account)
+        if bucket is None or grant.seat != bucket.holder:
+            continue
+        bucket.n_denied += denied.n_tokens
+        bucket.denied_retry_after_s = grant.retry_after_s
+        bucket.n_requested = max(0, bucket.n_requested - denied.n_tokens)
+        world.changed_accounts[bucket.account] = None
     for loan in grant.loans:
         bucket = world.buckets.get(loan.account)
         if bucket is None:
--- a/src/rhubarbspan/tables/buckets.py
+++ b/src/rhubarbspan/tables/buckets.py
@@ -150,6 +150,8 @@
         pending_delegation_request: Latest request for the owned share, or None.
         removed_s: When the account was removed, or None.
         advertised_demand_per_s: Smoothed demand at the latest heartbeat.
+        n_denied: Tokens that the holder denied to waiting local requests.
+        denied_retry_after_s: When the holder may have tokens for these, from then on.
     """
 
     account: str
@@ -179,6 +181,8 @@
     pending_delegation_request: DelegationRequestRow | None = None
     removed_s: float | None = None
     advertised_demand_per_s: float = 0.0
+    n_denied: int = 0
+    denied_retry_after_s: float = 0.0
 
 
 class Buckets:
--- /dev/null
+++ b/src/rhubarbspan/tables/data_centres.py
@@ -0,0 +1,33 @@
+"""The table of the demand in the other data centres, one row for each."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class DataCentreRow:
+    """The demand in one data centre, as its relays summarise it.
+
+    Attributes:
+        as_of_s: When the newest summary was made, or before any time if there is none.
+        demands: Smoothed rate of requests, by account.
+    """
+
+    name: str
+    as_of_s: float = -1e9
+    demands: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class DataCentres:
+    """Rows by data centre.
+
+    Attributes:
+        sent_demands: Demands in the summaries that this instance sent, by account.
+    """
+
+    rows: dict[str, DataCentreRow] = field(default_factory=dict)
+    sent_demands: dict[str, float] = field(default_factory=dict)
+
+    def get_or_create(self, name: str) -> DataCentreRow:
+        """Return the row of a data centre; create it if it is missing."""
+        return self.rows.setdefault(name, DataCentreRow(name))
--- a/src/rhubarbspan/tables/servers.py
+++ b/src/rhubarbspan/tables/servers.py
@@ -31,6 +31,8 @@
         incarnation: Start time of the server's process in Unix milliseconds, or 0.
         misdirected_incarnation: Incarnation whose address turned out to belong to
             another server.
+        refused_until_s: Until when it counts as cold because its machine refused a
+            connection.
         cold_until_s: Until when the server counts as cold, by its own report or after
             an evacuation.
         sequence: Sequence number of the server's newest report.
@@ -71,6 +73,7 @@
     incarnation: int = 0
     misdirected_incarnation: int = -1
     cold_until_s: float = -1e9
+    refused_until_s: float = -1e9
     sequence: int = -1
     sequence_s: float = -1e9
     is_evacuated: bool = False
--- a/src/rhubarbspan/tick.py
+++ b/src/rhubarbspan/tick.py
@@ -18,6 +18,8 @@
 from .systems.quarantine import update_suspects
 from .systems.revisions import apply_revisions
 from .systems.steering import steer
+from .systems.store_readers import share_store_reads
+from .systems.summaries import exchange_summaries
 from .world import World
 
 System = Callable[[World, float, Inbox], Effects]
@@ -25,6 +27,8 @@
 SYSTEMS: tuple[System, ...] = (
     apply_revisions,
     track_peers,
+    exchange_summaries,
+    share_store_reads,
     watch_servers,
     update_suspects,
     handle_ended_attempts,
--- a/src/rhubarbspan/world.py
+++ b/src/rhubarbspan/world.py
@@ -1,16 +1,18 @@
 """The world: all tables of one instance."""
 
 import random
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import dataclass, field
 
 from .configuration import Configuration
 from .document import Change, Snapshot
+from .effects import StoreAccess
 from .inputs import Timer
 from .policies import Policies
 from .tables.answers import Answers
 from .tables.buckets import Buckets
 from .tables.claims import Claims
+from .tables.data_centres import DataCentres
 from .tables.deadlines import Deadlines
 from .tables.history import History
 from .tables.latencies import Latencies
@@ -75,6 +77,26 @@
     is_over: bool = False
 
 
+@dataclass(slots=True)
+class LimitDivision:
+    """How the limits of accounts are divided over data centres.
+
+    Attributes:
+        updated_s: When the fractions were computed last.
+        n_data_centres: Data centres with instances that may refill.
+        present_fraction: Fraction of the own data centre's instances that this one
+            hears, itself included.
+        fractions: Fraction of each account's limit that the own data centre refills.
+        computed: Fractions of each account that were computed lately, oldest first.
+    """
+
+    updated_s: float = -1e9
+    n_data_centres: int = 1
+    present_fraction: float = 1.0
+    fractions: dict[str, float] = field(default_factory=dict)
+    computed: dict[str, deque[float]] = field(default_factory=dict)
+
+
 @dataclass(slots=True)
 class World:
     """All tables of one instance, and its source of randomness.
@@ -97,10 +119,14 @@
         evacuated: Data centres that an operator has evacuated; their servers get no
             requests.
         store_recovered_s: When the store became reachable again after its last outage.
+        servers_listed_s: When a list of servers was read from the store last.
         heartbeats_sent_s: When the latest heartbeats were sent, by sequence number.
         demand_fractions: Fraction of each account's limit that this instance refills,
             by its fraction of the demand.
         splits: Requests sent to each pool of a split route, by route.
+        store_access: How this instance learns what the store holds.
+        store_updates_due_s: By prefix of the store, when the next reading of another
+            instance is due.
     """
 
     identity: Identity
@@ -140,7 +166,12 @@
     region_traffic: RegionTraffic = field(default_factory=RegionTraffic)
     evacuated: frozenset[str] = frozenset()
     store_recovered_s: float = -1e9
+    servers_listed_s: float = -1e9
     splits: dict[str, SplitRow] = field(default_factory=dict)
+    data_centres: DataCentres = field(default_factory=DataCentres)
+    limit_division: LimitDivision = field(default_factory=LimitDivision)
+    store_access: StoreAccess = StoreAccess.READER
+    store_updates_due_s: dict[str, float] = field(default_factory=dict)
     demand_fractions: dict[str, float] = field(default_factory=dict)
     heartbeats_sent_s: dict[int, float] = field(default_factory=dict)
 
--- /dev/null
+++ b/tests/test_fleet_size.py
@@ -0,0 +1,233 @@
+"""Tests of fleets of any size: limits, membership, relays and readers of the store."""
+
+import asyncio
+import random
+
+import pytest
+
+from rhubarbspan.edge.feed import Feed, Mirror
+from rhubarbspan.effects import SendPeerMessage, StoreAccess
+from rhubarbspan.inputs import PeerMessageReceived, StoreRead
+from rhubarbspan.peer_messages import StoreItem, StoreUpdate
+from rhubarbspan.systems.fleet_layout import is_relay, is_two_level
+from rhubarbspan.tick import run_tick
+from rhubarbspan.world import World
+from test_sums import (
+    OVERAGE,
+    SLACK,
+    STEP_S,
+    WINDOW_S,
+    Fleet,
+    _n_admitted_by_one_bucket,
+    _poisson,
+)
+
+DATA_CENTRES = ("a-1", "a-2", "a-3", "b-1", "b-2", "b-3", "c-1", "c-2", "c-3")
+SIZES = [7, 30, 80]
+LENGTH_S = 18.0
+SETTLED_S = 8.0
+
+
+def _bound(rate_per_s: float) -> float:
+    return (rate_per_s * WINDOW_S + int(rate_per_s)) * (1 + OVERAGE) + SLACK
+
+
+def simulate(
+    fleet: Fleet, demand_per_s: float, seed: int, disturb: float = 0.0
+) -> None:
+    """Run a fleet with Poisson arrivals at some of its instances.
+
+    Args:
+        fleet: The fleet.
+        demand_per_s: Requests per second over all instances, from 3 s on.
+        seed: Seed of the arrivals and disturbances.
+        disturb: Probability per second that an instance is cut off or paused.
+    """
+    rng = random.Random(seed)
+    seats = list(fleet.worlds)
+    until_s: dict[str, float] = {}
+    for step in range(int(LENGTH_S / STEP_S)):
+        now_s = step * STEP_S
+        demands: dict[str, int] = dict.fromkeys(seats, 0)
+        if now_s >= 3:
+            for _ in range(_poisson(rng, demand_per_s * STEP_S)):
+                demands[rng.choice(seats)] += 1
+        for seat in [s for s, end_s in until_s.items() if end_s <= now_s]:
+            del until_s[seat]
+            fleet.cut.discard(seat)
+            fleet.paused.discard(seat)
+        if now_s > 4 and rng.random() < disturb * STEP_S:
+            seat = rng.choice(seats)
+            rng.choice([fleet.cut, fleet.paused]).add(seat)
+            until_s[seat] = now_s + rng.uniform(0.5, 4)
+        fleet.tick(now_s, demands)
+
+
+@pytest.mark.parametrize("n_instances", SIZES)
+@pytest.mark.parametrize("rate_per_s", [5.0, 40.0, 200.0])
+def test_requests_inside_a_limit_are_served_at_any_size(
+    n_instances: int, rate_per_s: float
+) -> None:
+    fleet = Fleet(n_instances, rate_per_s, DATA_CENTRES)
+    simulate(fleet, 0.6 * rate_per_s, seed=1)
+    arrived_s = [t for t in fleet.arrived_s if t > SETTLED_S]
+    n_admitted = len([t for t in fleet.admitted_s if t > SETTLED_S])
+    assert n_admitted >= 0.95 * _n_admitted_by_one_bucket(arrived_s, rate_per_s)
+    assert fleet.max_admitted_in_a_window() <= _bound(rate_per_s)
+
+
+@pytest.mark.parametrize("n_instances", SIZES)
+@pytest.mark.parametrize("rate_per_s", [5.0, 40.0])
+def test_limit_holds_at_any_size_however_much_is_asked(
+    n_instances: int, rate_per_s: float
+) -> None:
+    fleet = Fleet(n_instances, rate_per_s, DATA_CENTRES)
+    simulate(fleet, 4 * rate_per_s, seed=2)
+    assert fleet.max_admitted_in_a_window() <= _bound(rate_per_s)
+    n_served = len([t for t in fleet.admitted_s if t > SETTLED_S])
+    assert n_served >= 0.8 * rate_per_s * (LENGTH_S - SETTLED_S)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_limit_holds_while_instances_are_cut_off_and_paused(seed: int) -> None:
+    rate_per_s = random.Random(seed).choice([5.0, 20.0, 60.0])
+    fleet = Fleet(30, rate_per_s, DATA_CENTRES)
+    simulate(fleet, 4 * rate_per_s, seed, disturb=1.5)
+    assert fleet.max_admitted_in_a_window() <= _bound(rate_per_s)
+
+
+@pytest.mark.parametrize("n_instances", [30, 80])
+def test_messages_between_data_centres_do_not_grow_with_the_fleet(
+    n_instances: int,
+) -> None:
+    fleet = Fleet(n_instances, 40.0, DATA_CENTRES)
+    assert all(is_two_level(world) for world in fleet.worlds.values())
+    for step in range(int(LENGTH_S / STEP_S)):
+        if step * STEP_S == 3.0:
+            fleet.n_messages = 0
+        fleet.tick(step * STEP_S, {"n-3": step % 2, "n-12": step % 3 == 0})
+    n_ways = len(DATA_CENTRES) * (len(DATA_CENTRES) - 1)
+    # Two relays a data centre, each second a summary and a heartbeat to each other one.
+    assert 0 < fleet.n_messages <= 2 * 2 * n_ways * (LENGTH_S - 3.0)
+    for world in fleet.worlds.values():
+        assert len(world.peers.alive()) == n_instances - 1
+
+
+def test_small_fleet_keeps_one_level() -> None:
+    assert not any(
+        is_two_level(world)
+        for world in Fleet(7, 40.0, DATA_CENTRES[:6]).worlds.values()
+    )
+
+
+def test_loss_of_both_relays_of_a_data_centre_is_noticed_and_replaced() -> None:
+    fleet = Fleet(45, 40.0, DATA_CENTRES)
+    for step in range(100):
+        fleet.tick(step * STEP_S, {})
+    relays = {
+        seat
+        for seat, world in fleet.worlds.items()
+        if world.identity.data_centre == "b-1" and is_relay(world)
+    }
+    assert len(relays) == 2
+    fleet.cut = relays
+    for step in range(100, 260):
+        fleet.tick(step * STEP_S, {})
+    for seat, world in fleet.worlds.items():
+        if seat not in relays:
+            assert {row.seat for row in world.peers.alive()} == set(fleet.worlds) - {
+                seat,
+                *relays,
+            }
+
+
+def _update(after: int, revision: int, *items: StoreItem) -> StoreUpdate:
+    return StoreUpdate("servers/", after, revision, list(items), 2.0)
+
+
+def _local_worlds(fleet: Fleet, data_centre: str) -> list[World]:
+    return [
+        world
+        for world in fleet.worlds.values()
+        if world.identity.data_centre == data_centre
+    ]
+
+
+def test_one_instance_of_a_data_centre_reads_and_others_take_over() -> None:
+    fleet = Fleet(36, 40.0, DATA_CENTRES)
+    for step in range(60):
+        fleet.tick(step * STEP_S, {})
+    now_s = 60 * STEP_S
+    reader, *others = sorted(
+        _local_worlds(fleet, "c-2"), key=lambda world: world.identity.seat
+    )
+    effects = run_tick(reader, now_s, [StoreRead(_update(0, 7))])
+    receivers = {
+        effect.seat
+        for effect in effects
+        if isinstance(effect, SendPeerMessage)
+        and isinstance(effect.message, StoreUpdate)
+    }
+    assert receivers == {world.identity.seat for world in others}
+    for step in range(40):
+        fleet.tick(now_s + step * STEP_S, {})
+        if step % 10 == 0:
+            for world in others:
+                received = PeerMessageReceived(_update(0, 7))
+                run_tick(world, now_s + step * STEP_S, [received])
+    assert reader.store_access is StoreAccess.READER
+    accesses = [world.store_access for world in others]
+    follower = StoreAccess.FOLLOWER
+    assert accesses == [StoreAccess.BACKUP, follower, follower]
+    # Nothing more is passed on: each begins to read by itself, one after the other.
+    last_s = now_s + 30 * STEP_S
+    for step in range(40, 120):
+        fleet.tick(now_s + step * STEP_S, {})
+        if all(world.store_access is StoreAccess.READER for world in others):
+            break
+    assert now_s + step * STEP_S - last_s < 2.0 + 1.7
+
+
+@pytest.fixture
+def feed() -> Feed:
+    """Return a feed whose store is not asked."""
+    fleet = Fleet(1)
+
+    class Inputs:
+        def on_next(self, item: object) -> None:
+            pass
+
+    class Ticker:
+        world = fleet.worlds["n-0"]
+        inputs = Inputs()
+
+    made = Feed(Ticker(), None, None)  # type: ignore[arg-type]
+    made._mirrors["servers/"] = Mirror("servers/", 1.0, 1.0)
+    return made
+
+
+def test_updates_apply_in_any_order_and_a_gap_is_read_anew(feed: Feed) -> None:
+    mirror = feed._mirrors["servers/"]
+    feed.apply_update(_update(0, 10, StoreItem("servers/a", b"1")))
+    feed.apply_update(_update(10, 20, StoreItem("servers/a", b"2")))
+    assert (mirror.revision, mirror.values) == (20, {"servers/a": b"2"})
+    # Older ones, also complete ones, change nothing.
+    feed.apply_update(_update(0, 15, StoreItem("servers/a", b"old")))
+    feed.apply_update(_update(5, 18, StoreItem("servers/a", b"old")))
+    assert mirror.values == {"servers/a": b"2"}
+    feed.apply_update(_update(15, 25, StoreItem("servers/a", None, True)))
+    assert (mirror.revision, mirror.values) == (25, {})
+    assert not mirror.may_read.is_set()
+    feed.apply_update(_update(30, 31, StoreItem("servers/b", b"1")))
+    assert mirror.revision == 0
+    assert mirror.may_read.is_set()
+
+
+def test_reader_waits_until_it_may_read(feed: Feed) -> None:
+    mirror = feed._mirrors["servers/"]
+    mirror.revision = 5
+    feed.set_access(StoreAccess.FOLLOWER)
+    assert not mirror.may_read.is_set()
+    feed.set_access(StoreAccess.BACKUP)
+    assert mirror.may_read.is_set()
+    asyncio.run(asyncio.wait_for(mirror.may_read.wait(), 1))
--- a/tests/test_sums.py
+++ b/tests/test_sums.py
@@ -37,8 +37,12 @@
 
 def document(rate_per_s: float = RATE_PER_S) -> Document:
     """Make a configuration with one account and one route that needs its key."""
+    data_centres = {
+        f"data_centre {name}": {"region": name[0], "seats": "0"}
+        for name in ("a-1", "a-2", "a-3", "b-1", "b-2", "b-3", "c-1", "c-2", "c-3")
+    }
     return {
-        "data_centre a-1": {"region": "a", "seats": "0"},
+        **data_centres,
         "pool shop": {"slots_per_server": "2"},
         "client_account ana": {
             "rate_per_s": str(rate_per_s),
@@ -61,11 +65,15 @@
     Attributes:
         cut: Instances that reach neither the other instances nor the store.
         unconfirmed: Instances that reach the others, but not the store.
+        paused: Instances that do nothing until they resume.
+        n_messages: Messages between data centres that were sent.
     """
 
     __slots__ = (
         "worlds",
         "cut",
+        "paused",
+        "n_messages",
         "unconfirmed",
         "n_requests",
         "admitted_s",
@@ -73,7 +81,12 @@
         "_in_transit",
     )
 
-    def __init__(self, n_instances: int, rate_per_s: float = RATE_PER_S) -> None:
+    def __init__(
+        self,
+        n_instances: int,
+        rate_per_s: float = RATE_PER_S,
+        data_centres: tuple[str, ...] = ("a-1",),
+    ) -> None:
         policies = Policies(
             limits=DemandShares(),
             choice=ObjectPlacement(),
@@ -86,7 +99,14 @@
         )
         self.worlds = {
             f"n-{number}": create_world(
-                Identity(f"n-{number}", "a-1", "a", number + 1, "x", "y"),
+                Identity(
+                    f"n-{number}",
+                    data_centres[number % len(data_centres)],
+                    data_centres[number % len(data_centres)][0],
+                    number + 1,
+                    "x",
+                    "y",
+                ),
                 0.0,
                 policies,
                 number,
@@ -95,16 +115,25 @@
         }
         self.cut: set[str] = set()
         self.unconfirmed: set[str] = set()
+        self.paused: set[str] = set()
+        self.n_messages = 0
         self._in_transit: dict[str, list[PeerMessageReceived]] = {}
         self.n_requests = 0
         self.admitted_s: list[float] = []
         self.arrived_s: list[float] = []
-        listings = [Listing(seat, "y", "x", "a-1") for seat in self.worlds]
+        listings = self.listings()
         for world in self.worlds.values():
             snapshot = Snapshot(1, document(rate_per_s))
             received = ConfigurationReceived(snapshot, [], True)
             run_tick(world, 0.0, [received, PeersListed(listings)])
 
+    def listings(self) -> list[Listing]:
+        """Return the platform's list of instances."""
+        return [
+            Listing(seat, "y", "x", world.identity.data_centre)
+            for seat, world in self.worlds.items()
+        ]
+
     def restart(self, seat: str, now_s: float) -> World:
         """Replace an instance by a new incarnation without state."""
         old = self.worlds[seat]
@@ -113,9 +142,9 @@
         )
         world = create_world(new_identity, now_s, old.policies, 1)
         self.worlds[seat] = world
-        listings = [Listing(name, "y", "x", "a-1") for name in self.worlds]
         received = ConfigurationReceived(Snapshot(1, document()), [], True)
-        for effect in run_tick(world, now_s, [received, PeersListed(listings)]):
+        inputs: list[Input] = [received, PeersListed(self.listings())]
+        for effect in run_tick(world, now_s, inputs):
             self._deliver(seat, effect)
         return world
 
@@ -124,6 +153,10 @@
         arrived = self._in_transit
         self._in_transit = {}
         for seat, world in self.worlds.items():
+            if seat in self.paused:
+                # Its sockets keep what arrives until it resumes.
+                self._in_transit.setdefault(seat, []).extend(arrived.get(seat, []))
+                continue
             inputs: list[Input] = [*arrived.get(seat, [])]
             for _ in range(demands.get(seat, 0)):
                 self.n_requests += 1
@@ -139,6 +172,9 @@
     def _deliver(self, seat: str, effect: object) -> None:
         if not isinstance(effect, SendPeerMessage) or self.cut & {seat, effect.seat}:
             return
+        data_centre = self.worlds[seat].identity.data_centre
+        if self.worlds[effect.seat].identity.data_centre != data_centre:
+            self.n_messages += 1
         received = PeerMessageReceived(effect.message)
         self._in_transit.setdefault(effect.seat, []).append(received)
 
