Keep small limits whole in one data centre

Change: a limit whose equal part would be under 2/s is refilled by one data centre, chosen by rendezvous hashing over those that are known; the others request tokens of one of its relays, one round trip each. A silent data centre stays the keeper until its instances are forgotten; one that hears half of the data centres or fewer stops to refill. Those without a way to the keeper refill shares that sum to half of what the platform permits beyond the limit.

--- a/src/rhubarbspan/systems/admission.py
+++ b/src/rhubarbspan/systems/admission.py
@@ -274,8 +274,12 @@
     is_urgent = n_waiting > bucket.n_requested or n_missing >= max(1, n_prefetch // 2)
     if not n_waiting:
         _return_surplus(bucket, now_s, n_prefetch)
-    reports = _collect_reports(bucket, peer.seat, peer.incarnation)
     n_to_request = n_missing if is_urgent and n_missing > 0 else 0
+    if not n_to_request and denies(world):
+        # Loans end soon by themselves, so that a message only to report one is not
+        # worth its bytes.
+        return
+    reports = _collect_reports(bucket, peer.seat, peer.incarnation)
     if not n_to_request and not reports:
         return
     if now_s - bucket.last_request_s < REQUEST_INTERVAL_S and not n_waiting:
--- a/src/rhubarbspan/systems/demand_fractions.py
+++ b/src/rhubarbspan/systems/demand_fractions.py
@@ -5,7 +5,8 @@
 
 In each data centre one instance, the holder, refills an account's bucket, and the
 others request their tokens from it: divided further, a small limit would leave less
-than one request to each instance. All instances of a data centre choose the same
+than one request to each instance. Limits that are too small even for that are kept by
+one data centre, see ``limit_keepers``. All instances of a data centre choose the same
 holder by rendezvous hashing over those that they hear. An instance that hears only
 some of them refills only their part, so that the parts of a divided data centre do not
 exceed the whole.
@@ -16,8 +17,20 @@
 from ..tables.buckets import BucketRow
 from ..tables.peers import PeerRow
 from ..world import World
-from .bucketing import rendezvous_score, smoothed_demand_per_s
-from .fleet_layout import N_HEARTBEATS_PER_SUMMARY, is_two_level, local_peers
+from .bucketing import smoothed_demand_per_s
+from .fleet_layout import (
+    N_HEARTBEATS_PER_SUMMARY,
+    N_RELAYS,
+    is_two_level,
+    local_peers,
+)
+from .limit_keepers import (
+    choose_holder,
+    choose_keeper,
+    is_kept_whole,
+    reachable_rows,
+    remote_holder,
+)
 
 # Each data centre counts with at least this demand, so that none is left without
 # tokens. For a small limit it is a fraction of the rate: otherwise data centres without
@@ -57,20 +70,38 @@
     present = _present_peers(world, now_s)
     division.present_fraction = (1 + len(present)) / n_counted[own_data_centre]
     holders = _possible_holders(world, now_s, present, startup_s)
-    is_alone = len(n_counted) > 1 and not _hears_other_data_centres(world, now_s)
+    reachable = reachable_rows(world, now_s, counted)
+    is_alone = len(n_counted) > 1 and not reachable
+    is_minority = 2 * (1 + len(reachable)) <= len(n_counted)
+    accounts = world.configuration.client_accounts
+    division.isolated.clear()
     for bucket in world.buckets.rows():
-        demands = _demand_by_data_centre(world, bucket, counted, list(n_counted))
-        bucket.advertised_demand_per_s = smoothed_demand_per_s(bucket, now_s)
-        fraction = demands[own_data_centre] / sum(demands.values())
-        fraction = _settled_fraction(world, bucket.account, fraction)
-        known = division.fractions.get(bucket.account)
-        if is_alone and known is not None:
-            # Nobody tells who else refills from the limit, so the part must not grow.
-            fraction = min(fraction, known)
+        advertised_per_s = smoothed_demand_per_s(bucket, now_s)
+        if is_kept_whole(world, accounts.get(bucket.account)):
+            keeper = choose_keeper(bucket.account, n_counted)
+            rows = reachable.get(keeper)
+            if rows:
+                bucket.holder = remote_holder(bucket.account, rows, now_s, startup_s)
+                fraction = 0.0
+            elif keeper == own_data_centre and not is_minority:
+                bucket.holder = choose_holder(bucket.account, holders, N_RELAYS)
+                fraction = 1.0
+            else:
+                division.isolated.add(bucket.account)
+                bucket.holder = choose_holder(bucket.account, holders)
+                fraction = 0.0
+        else:
+            demands = _demand_by_data_centre(world, bucket, counted, list(n_counted))
+            fraction = demands[own_data_centre] / sum(demands.values())
+            fraction = _settled_fraction(world, bucket.account, fraction)
+            known = division.fractions.get(bucket.account)
+            if is_alone and known is not None:
+                # Nobody tells who else refills from the limit, so the part must not
+                # grow.
+                fraction = min(fraction, known)
+            bucket.holder = choose_holder(bucket.account, holders)
+        bucket.advertised_demand_per_s = advertised_per_s
         division.fractions[bucket.account] = fraction
-        bucket.holder = max(
-            holders, key=lambda seat: rendezvous_score(bucket.account, seat)
-        )
         is_holder = bucket.holder == world.identity.seat
         world.demand_fractions[bucket.account] = (
             fraction * division.present_fraction if is_holder else 0.0
@@ -123,14 +154,6 @@
     return seats or [world.identity.seat]
 
 
-def _hears_other_data_centres(world: World, now_s: float) -> bool:
-    own_data_centre = world.identity.data_centre
-    return any(
-        row.data_centre != own_data_centre and row.is_alive
-        for row in world.peers.rows()
-    )
-
-
 def _demand_by_data_centre(
     world: World, bucket: BucketRow, counted: list[PeerRow], names: list[str]
 ) -> dict[str, float]:
--- /dev/null
+++ b/src/rhubarbspan/systems/limit_keepers.py
@@ -0,0 +1,117 @@
+"""Decides which limits one data centre keeps whole, and which instances hold them.
+
+A small limit that is divided leaves less than one request to each data centre, and
+refuses what lies inside it. Such a limit is refilled by one data centre, its keeper,
+chosen by rendezvous hashing over those that are known; the others request their tokens
+from it, one round trip for each.
+
+A data centre that is silent stays the keeper until its instances are forgotten: it may
+be cut off and refill. One that hears half of the data centres or fewer does not refill,
+since the others may have chosen another keeper. Data centres without a way to the
+keeper refill a small share each that together stays within what the platform permits
+beyond the limit.
+"""
+
+from collections.abc import Iterable
+
+from ..configuration import ClientAccount
+from ..policies import Policies
+from ..tables.peers import PeerRow
+from ..world import World
+from .bucketing import rendezvous_score
+from .fleet_layout import N_RELAYS
+
+# Fraction of the permitted excess that data centres without a way to the keeper refill.
+# The rest covers the time in which a limit moves to another keeper.
+ISOLATED_EXCESS_FRACTION = 0.5
+# Fraction of the permitted excess that the keeper holds as extra burst, because tokens
+# on loan count against the burst until they expire.
+KEEPER_EXCESS_FRACTION = 0.15
+# A limit is kept whole if the share of a data centre without a way to the keeper is at
+# least this fraction of an equal part of the limit.
+MIN_ISOLATED_FRACTION = 0.2
+# It must also be so small that an equal part of it has less than this rate: larger
+# parts lose little, and need no messages between data centres.
+MAX_PART_PER_S = 2.0
+# Instances that this one has never heard count as alive for this long after its start.
+FIRST_SUMMARY_S = 3.0
+
+
+def permitted_excess(policies: Policies, account: ClientAccount) -> float:
+    """Return how many requests beyond the limit a window may have in all."""
+    in_window = account.rate_per_s * policies.limit_window_s + account.burst
+    return policies.burst_slack + policies.limit_overage * in_window
+
+
+def is_kept_whole(world: World, account: ClientAccount | None) -> bool:
+    """Return whether one data centre keeps an account's limit."""
+    n_data_centres = world.limit_division.n_data_centres
+    if account is None or n_data_centres < 2:
+        return False
+    if account.rate_per_s >= MAX_PART_PER_S * n_data_centres:
+        return False
+    policies = world.policies
+    in_window = account.rate_per_s * policies.limit_window_s + account.burst
+    n_isolated = _isolated_in_window(policies, account, n_data_centres)
+    return n_isolated >= MIN_ISOLATED_FRACTION * in_window / n_data_centres
+
+
+def isolated_share(
+    policies: Policies, account: ClientAccount, n_data_centres: int
+) -> tuple[float, float]:
+    """Return the rate and burst of a data centre without a way to the keeper."""
+    n_isolated = _isolated_in_window(policies, account, n_data_centres)
+    burst = min(1.0, n_isolated)
+    return (n_isolated - burst) / max(policies.limit_window_s, 1.0), burst
+
+
+def _isolated_in_window(
+    policies: Policies, account: ClientAccount, n_data_centres: int
+) -> float:
+    excess = ISOLATED_EXCESS_FRACTION * permitted_excess(policies, account)
+    return excess / max(1, n_data_centres - 1)
+
+
+def choose_keeper(account: str, data_centres: Iterable[str]) -> str:
+    """Return the data centre that keeps an account's limit."""
+    return max(data_centres, key=lambda name: rendezvous_score(account, name))
+
+
+def reachable_rows(
+    world: World, now_s: float, counted: list[PeerRow]
+) -> dict[str, list[PeerRow]]:
+    """List the instances of the other data centres that are alive, by data centre."""
+    has_just_started = now_s - world.started_s < FIRST_SUMMARY_S
+    found: dict[str, list[PeerRow]] = {}
+    for row in counted:
+        is_unheard = has_just_started and row.last_heard_s < 0
+        if row.data_centre != world.identity.data_centre and (
+            row.is_alive or is_unheard
+        ):
+            found.setdefault(row.data_centre, []).append(row)
+    return found
+
+
+def choose_holder(account: str, seats: list[str], n_holders: int | None = None) -> str:
+    """Return the seat that refills an account's bucket in a data centre.
+
+    Args:
+        account: The account.
+        seats: Seats that may hold limits.
+        n_holders: Number of seats, in the order of their names, that the account's is
+            one of; None for all. Few holders need few connections between data centres.
+    """
+    candidates = sorted(seats)[:n_holders]
+    return max(candidates, key=lambda seat: rendezvous_score(account, seat))
+
+
+def remote_holder(
+    account: str, rows: list[PeerRow], now_s: float, startup_s: float
+) -> str:
+    """Return the seat of another data centre that holds an account's limit."""
+    ready = [
+        row.seat
+        for row in rows
+        if not row.is_leaving and now_s - row.started_s >= startup_s
+    ]
+    return choose_holder(account, ready or [row.seat for row in rows], N_RELAYS)
--- a/src/rhubarbspan/systems/share_ownership.py
+++ b/src/rhubarbspan/systems/share_ownership.py
@@ -6,7 +6,6 @@
 from ..configuration import ClientAccount, Shift
 from ..policies import (
     DemandShares,
-    Policies,
     PooledShares,
     StaticShares,
     Uncoordinated,
@@ -16,6 +15,12 @@
 from ..world import World
 from .bucketing import capacity, lender_term_s, owned_share, refill
 from .demand_fractions import MIN_PRESENT_FRACTION, demand_fraction
+from .limit_keepers import (
+    KEEPER_EXCESS_FRACTION,
+    is_kept_whole,
+    isolated_share,
+    permitted_excess,
+)
 
 DELEGATION_TERM_S = 0.9
 # After a start the owned share is not used for this long: a delegation of it by an
@@ -115,28 +120,32 @@
     world: World, account: ClientAccount, fraction: float
 ) -> tuple[float, float]:
     """Return the rate and burst that a holder refills for its data centre."""
+    division = world.limit_division
+    if account.name in division.isolated:
+        bucket = world.buckets.get(account.name)
+        if bucket is None or bucket.holder != world.identity.seat:
+            return 0.0, 0.0
+        rate, burst = isolated_share(world.policies, account, division.n_data_centres)
+        return rate * division.present_fraction, burst * division.present_fraction
     if fraction <= 0:
         return 0.0, 0.0
-    division = world.limit_division
-    slack = burst_slack(world.policies, account) / division.n_data_centres
-    burst = account.burst * fraction + slack * division.present_fraction
+    if is_kept_whole(world, account):
+        excess = permitted_excess(world.policies, account)
+        burst = account.burst + KEEPER_EXCESS_FRACTION * excess
+        return account.rate_per_s * fraction, burst * fraction
+    slack = SLACK_FRACTION * permitted_excess(world.policies, account)
+    # The slack is divided evenly over the data centres, so that bursts of requests get
+    # tokens also in one with a small fraction of the demand. The rate is not exceeded:
+    # the rates of the data centres sum to the limit.
+    burst = (
+        account.burst * fraction
+        + slack / division.n_data_centres * division.present_fraction
+    )
     if division.present_fraction >= MIN_PRESENT_FRACTION:
         burst = max(1.0, burst)
     return account.rate_per_s * fraction, min(account.burst, burst)
 
 
-def burst_slack(policies: Policies, account: ClientAccount) -> float:
-    """Return how many tokens the instances may hold in all beyond an account's burst.
-
-    They are divided evenly over the data centres, so that bursts of requests get tokens
-    also in one with a small fraction of the demand. The rate is not exceeded: the rates
-    of the data centres sum to the limit.
-    """
-    in_window = account.rate_per_s * policies.limit_window_s + account.burst
-    slack = policies.burst_slack + policies.limit_overage * in_window
-    return SLACK_FRACTION * slack
-
-
 def _shift_share(world: World, shift: Shift) -> tuple[float, int]:
     # Rate plus burst is at most the cap, so that no second has more requests.
     burst = max(1, int(shift.cap_requests_per_s * 0.1))
--- a/src/rhubarbspan/world.py
+++ b/src/rhubarbspan/world.py
@@ -88,6 +88,8 @@
             hears, itself included.
         fractions: Fraction of each account's limit that the own data centre refills.
         computed: Fractions of each account that were computed lately, oldest first.
+        isolated: Accounts whose limit another data centre keeps to which there is no
+            way now.
     """
 
     updated_s: float = -1e9
@@ -95,6 +97,7 @@
     present_fraction: float = 1.0
     fractions: dict[str, float] = field(default_factory=dict)
     computed: dict[str, deque[float]] = field(default_factory=dict)
+    isolated: set[str] = field(default_factory=set)
 
 
 @dataclass(slots=True)
