Do not date a configuration by the message that brought it

Cause: instances that do not read the store get its configuration from another one, with no time of the reading. The same revision once more was taken as confirmed when the message arrived, however old the reading was: a withdrawn key could have been used for longer than allowed.

Change: a confirmation never goes back, and dates from the reading. What was the newest revision at a time is confirmed by any later one.

--- a/src/rhubarbspan/systems/revisions.py
+++ b/src/rhubarbspan/systems/revisions.py
@@ -63,7 +63,7 @@
         return []
     if new_snapshot.revision <= state.snapshot.revision:
         if update.is_from_store and new_snapshot.revision == state.snapshot.revision:
-            state.confirmed_s = now_s
+            _confirm(world, now_s, update)
         return []
     known: Configuration | None = world.configuration
     if not _has_same_data_centres(state.snapshot.document, new_snapshot.document):
@@ -101,12 +101,22 @@
     state.snapshot = snapshot
     state.in_force_s = now_s
     if update.is_from_store:
-        state.confirmed_s = now_s if update.confirmed_s is None else update.confirmed_s
+        _confirm(world, now_s, update)
     world.configuration = configuration
     world.is_configuration_new = True
     world.count("configuration_changes")
 
 
+def _confirm(world: World, now_s: float, update: ConfigurationReceived) -> None:
+    """Record when the store was known to hold no newer configuration.
+
+    That an earlier revision was the newest at some time holds for the later ones too.
+    """
+    confirmed_s = now_s if update.confirmed_s is None else update.confirmed_s
+    state = world.configuration_state
+    state.confirmed_s = max(state.confirmed_s, confirmed_s)
+
+
 def _join_changes(
     kept: list[Change], added: list[Change], revision: int
 ) -> list[Change]:
--- a/tests/test_sums.py
+++ b/tests/test_sums.py
@@ -65,6 +65,7 @@
     Attributes:
         cut: Instances that reach neither the other instances nor the store.
         unconfirmed: Instances that reach the others, but not the store.
+        isolated: Data centres whose instances reach only each other.
         paused: Instances that do nothing until they resume.
         n_messages: Messages between data centres that were sent.
     """
@@ -72,6 +73,7 @@
     __slots__ = (
         "worlds",
         "cut",
+        "isolated",
         "paused",
         "n_messages",
         "unconfirmed",
@@ -115,6 +117,7 @@
         }
         self.cut: set[str] = set()
         self.unconfirmed: set[str] = set()
+        self.isolated: set[str] = set()
         self.paused: set[str] = set()
         self.n_messages = 0
         self._in_transit: dict[str, list[PeerMessageReceived]] = {}
@@ -134,6 +137,14 @@
             for seat, world in self.worlds.items()
         ]
 
+    def unlist(self, seats: set[str]) -> None:
+        """Let the leases of instances expire on the platform's list."""
+        listings = [row for row in self.listings() if row.seat not in seats]
+        for seat, world in self.worlds.items():
+            if seat not in self.cut:
+                listed = PeersListed(listings)
+                run_tick(world, world.limit_division.updated_s, [listed])
+
     def restart(self, seat: str, now_s: float) -> World:
         """Replace an instance by a new incarnation without state."""
         old = self.worlds[seat]
@@ -162,7 +173,8 @@
                 self.n_requests += 1
                 self.arrived_s.append(now_s)
                 inputs.append(RequestArrived(self.n_requests, "/look/x", KEY))
-            if seat not in self.cut | self.unconfirmed:
+            is_reachable = world.identity.data_centre not in self.isolated
+            if is_reachable and seat not in self.cut | self.unconfirmed:
                 inputs.append(RevisionConfirmed(1))
             before = _n_admitted(world)
             for effect in run_tick(world, now_s, inputs):
@@ -172,12 +184,20 @@
     def _deliver(self, seat: str, effect: object) -> None:
         if not isinstance(effect, SendPeerMessage) or self.cut & {seat, effect.seat}:
             return
-        data_centre = self.worlds[seat].identity.data_centre
-        if self.worlds[effect.seat].identity.data_centre != data_centre:
+        data_centres = {
+            self.worlds[name].identity.data_centre for name in (seat, effect.seat)
+        }
+        if len(data_centres) > 1:
+            if data_centres & self.isolated:
+                return
             self.n_messages += 1
         received = PeerMessageReceived(effect.message)
         self._in_transit.setdefault(effect.seat, []).append(received)
 
+    def in_transit(self, seat: str) -> list[PeerMessageReceived]:
+        """List the messages that an instance gets at the next tick."""
+        return self._in_transit.get(seat, [])
+
     def max_admitted_in_a_window(self) -> int:
         """Return the largest number of requests admitted in any window."""
         times = sorted(self.admitted_s)
@@ -409,3 +429,19 @@
     assert 0.4 <= changed.count("other") / len(changed) <= 0.6
     positions = [n for n, pool in enumerate(pools) if pool == "other"]
     assert max(b - a for a, b in pairwise(positions)) <= 11
+
+
+# What another instance read from the store says nothing of when that was.
+@pytest.mark.parametrize("revision", [1, 2])
+def test_reading_of_another_instance_confirms_nothing_and_revokes_nothing(
+    revision: int,
+) -> None:
+    fleet = Fleet(1)
+    world = fleet.worlds["n-0"]
+    for step in range(100):
+        fleet.tick(step * STEP_S, {})
+    before_s = world.configuration_state.confirmed_s
+    received = ConfigurationReceived(Snapshot(revision, document()), [], True, -1e9)
+    run_tick(world, 8.0, [received])
+    assert world.configuration.revision == revision
+    assert world.configuration_state.confirmed_s == before_s
