Let a lost keeper be replaced sooner, and start isolated shares with a token

Cause: the share of a data centre without a way to the keeper of a small limit refills 0.1/s: it held no token before the way was back, or the keeper replaced.

Change: an isolated share starts with its burst, at most once in a window of the limit. Leases last 6 s instead of 9, renewed every 2 s; demand counts for 7 s.

--- a/src/rhubarbspan/edge/registration.py
+++ b/src/rhubarbspan/edge/registration.py
@@ -13,8 +13,8 @@
 LOG = logbook.Logger("rhubarbspan.store")
 # The record of a crashed instance stays for this long; peers notice the crash sooner,
 # since its heartbeats stop.
-LEASE_TTL_S = 9.0
-RENEW_INTERVAL_S = 3.0
+LEASE_TTL_S = 6.0
+RENEW_INTERVAL_S = 2.0
 
 
 class Registration:
--- a/src/rhubarbspan/systems/demand_fractions.py
+++ b/src/rhubarbspan/systems/demand_fractions.py
@@ -38,7 +38,7 @@
 MIN_DEMAND_PER_S = 0.3
 MIN_DEMAND_FRACTION = 0.02
 # The demand of a silent peer counts for this long, longer than any lease lasts.
-DEMAND_RETENTION_S = 10.0
+DEMAND_RETENTION_S = 7.0
 # Silence, as a fraction of that after which an instance counts as dead, after which it
 # is no longer the holder of limits: requests wait for its tokens.
 HOLDER_SILENCE_FRACTION = 0.7
--- a/src/rhubarbspan/systems/share_ownership.py
+++ b/src/rhubarbspan/systems/share_ownership.py
@@ -182,6 +182,21 @@
         refill(bucket, now_s)
         rate, burst = _owned_share(world, account)
         _set_owned_share(world, now_s, bucket, rate, burst)
+        if account.name in world.limit_division.isolated:
+            _start_isolated(world, now_s, bucket)
+
+
+def _start_isolated(world: World, now_s: float, bucket: BucketRow) -> None:
+    """Let the holder of an isolated share begin with its burst, once in a window.
+
+    The share's rate alone would take longer for a token than most ways are interrupted.
+    """
+    if bucket.holder != world.identity.seat or not bucket.shares:
+        return
+    if now_s - bucket.isolated_s > world.policies.limit_window_s:
+        bucket.n_tokens = capacity(bucket)
+        world.changed_accounts[bucket.account] = None
+    bucket.isolated_s = now_s
 
 
 def startup_s(world: World) -> float:
--- a/src/rhubarbspan/tables/buckets.py
+++ b/src/rhubarbspan/tables/buckets.py
@@ -151,6 +151,8 @@
         removed_s: When the account was removed, or None.
         advertised_demand_per_s: Smoothed demand at the latest heartbeat.
         n_denied: Tokens that the holder denied to waiting local requests.
+        isolated_s: When this instance last held the share of a data centre without a
+            way to the limit's keeper.
         denied_retry_after_s: When the holder may have tokens for these, from then on.
     """
 
@@ -182,6 +184,7 @@
     removed_s: float | None = None
     advertised_demand_per_s: float = 0.0
     n_denied: int = 0
+    isolated_s: float = -1e9
     denied_retry_after_s: float = 0.0
 
 
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -10,6 +10,7 @@
 from rhubarbspan.inputs import PeerMessageReceived, StoreRead
 from rhubarbspan.peer_messages import StoreItem, StoreUpdate
 from rhubarbspan.systems.fleet_layout import is_relay, is_two_level
+from rhubarbspan.systems.limit_keepers import choose_keeper
 from rhubarbspan.tick import run_tick
 from rhubarbspan.world import World
 from test_sums import (
@@ -231,3 +232,66 @@
     feed.set_access(StoreAccess.BACKUP)
     assert mirror.may_read.is_set()
     asyncio.run(asyncio.wait_for(mirror.may_read.wait(), 1))
+
+
+def _in_data_centre(fleet: Fleet, data_centre: str) -> set[str]:
+    return {
+        seat
+        for seat, world in fleet.worlds.items()
+        if world.identity.data_centre == data_centre
+    }
+
+
+@pytest.mark.parametrize("cut_s", [(6.0, 9.0), (6.0, 30.0)])
+def test_small_limit_is_served_on_while_its_keeper_is_cut_off(
+    cut_s: tuple[float, float],
+) -> None:
+    rate_per_s = 5.0
+    fleet = Fleet(36, rate_per_s, DATA_CENTRES)
+    kept = _in_data_centre(fleet, choose_keeper("ana", DATA_CENTRES))
+    rng = random.Random(5)
+    seats = list(fleet.worlds)
+    from_s, until_s = cut_s
+    for step in range(int(30 / STEP_S)):
+        now_s = step * STEP_S
+        is_cut = from_s <= now_s < until_s
+        if is_cut and not fleet.cut:
+            # The messages between the cut-off instances are lost too, as if each had
+            # lost its link.
+            fleet.cut = set(kept)
+        elif not is_cut:
+            fleet.cut = set()
+        if now_s > from_s + 6.0 and fleet.cut:
+            fleet.unlist(kept)
+        demands: dict[str, int] = dict.fromkeys(seats, 0)
+        if now_s >= 3:
+            for _ in range(_poisson(rng, 4 * rate_per_s * STEP_S)):
+                demands[rng.choice(seats)] += 1
+        fleet.tick(now_s, demands)
+    assert fleet.max_admitted_in_a_window() <= _bound(rate_per_s)
+    settled_s = from_s + 16.0
+    n_served = len([t for t in fleet.admitted_s if t > settled_s])
+    assert n_served >= 0.8 * rate_per_s * (30 - settled_s)
+    # Before the keeper counts as gone, the others use their isolated shares.
+    n_while_cut = len([t for t in fleet.admitted_s if from_s + 3 < t < from_s + 6.5])
+    assert n_while_cut >= 4
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_small_limit_holds_while_data_centres_are_cut_off(seed: int) -> None:
+    rate_per_s = 5.0
+    fleet = Fleet(27, rate_per_s, DATA_CENTRES)
+    rng = random.Random(seed)
+    seats = list(fleet.worlds)
+    ends_s: dict[str, float] = {}
+    for step in range(int(30 / STEP_S)):
+        now_s = step * STEP_S
+        if now_s > 4 and rng.random() < 0.5 * STEP_S:
+            ends_s[rng.choice(DATA_CENTRES)] = now_s + rng.uniform(1, 12)
+        fleet.isolated = {name for name, end_s in ends_s.items() if end_s > now_s}
+        demands: dict[str, int] = dict.fromkeys(seats, 0)
+        if now_s >= 3:
+            for _ in range(_poisson(rng, 4 * rate_per_s * STEP_S)):
+                demands[rng.choice(seats)] += 1
+        fleet.tick(now_s, demands)
+    assert fleet.max_admitted_in_a_window() <= _bound(rate_per_s)
