Tell the other instances which servers are used for which objects

Cause: an instance knew the true warmth of a server for 28% of the visits; with many instances each sends few of the requests for an object itself. On the small twin of the large site servers keep 6 objects, not the assumed 24; cold service times were learned from requests that were warm without the instance knowing it.

Change: heartbeats tell the uses of servers inside a data centre, summaries between data centres (one relay each). Warm and cold times are learned only where warmth is certain; how many objects the servers of a pool keep is learned from responses, and told as well. An object that a cold server would evict counts in its cost, by the time since its last use. A body that crosses data centres costs ten times as much.

--- a/src/rhubarbspan/peer_messages.py
+++ b/src/rhubarbspan/peer_messages.py
@@ -78,6 +78,10 @@
             it; the default treats them as started long ago.
         refusing_servers_s: Backend servers whose machines refused a connection, with
             the remaining time for which they count as cold.
+        handled: Objects that the instance sent to servers since its last heartbeat:
+            digests of route and object, by digest of the server's identifier.
+        responses: What responses since then show of how many objects the servers of a
+            pool keep, encoded as in ``tables.objects``.
     """
 
     seat: str
@@ -97,6 +101,8 @@
     echo_age_s: float = 0.0
     uptime_s: float = 1e9
     refusing_servers_s: dict[str, float] = field(default_factory=dict)
+    handled: dict[int, list[int]] = field(default_factory=dict)
+    responses: dict[str, list[int]] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -335,6 +341,9 @@
         revision: Configuration revision of the sender.
         is_passed_on: Whether an instance of the receiver's data centre passed it on.
         age_s: Time since the summary was made.
+        handled: Objects that the data centre sent to servers since the last summary,
+            as in a heartbeat.
+        responses: What responses since then show, as in a heartbeat.
     """
 
     seat: str
@@ -347,6 +356,8 @@
     revision: int = 0
     is_passed_on: bool = False
     age_s: float = 0.0
+    handled: dict[int, list[int]] = field(default_factory=dict)
+    responses: dict[str, list[int]] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
--- a/src/rhubarbspan/systems/membership.py
+++ b/src/rhubarbspan/systems/membership.py
@@ -22,6 +22,7 @@
     is_two_level,
     local_peers,
 )
+from .object_sharing import apply_responses, apply_uses, take_responses, take_uses
 from .revisions import config_age_s
 from .slots import n_free_slots, n_usable_slots, owned_servers
 
@@ -116,6 +117,9 @@
     row.peer_address = heartbeat.peer_address or row.peer_address
     row.loads = {load.pool: load for load in heartbeat.loads}
     row.demands = {demand.account: demand for demand in heartbeat.demands}
+    is_local = row.data_centre == world.identity.data_centre
+    apply_uses(world, now_s, heartbeat.handled, is_local)
+    apply_responses(world, heartbeat.responses, is_local)
     if row.is_alive:
         return []
     row.is_alive = True
@@ -162,6 +166,8 @@
             for row in world.servers.rows()
             if row.refused_until_s > now_s
         },
+        handled=take_uses(world.objects.unsent),
+        responses=take_responses(world.objects.unsent_responses),
     )
     world.heartbeats_sent_s[world.heartbeat_sequence] = now_s
     world.heartbeats_sent_s.pop(world.heartbeat_sequence - N_HEARTBEATS_KEPT, None)
@@ -173,7 +179,7 @@
     if is_summary_due and is_two_level(world) and is_relay(world):
         # Relays confirm the configuration to each other, and pass on suspects. Their
         # summaries tell the rest.
-        brief = replace(heartbeat, loads=[], demands=[])
+        brief = replace(heartbeat, loads=[], demands=[], handled={}, responses={})
         effects += [
             SendPeerMessage(row.seat, _add_echo(brief, row, now_s))
             for row in counterpart_relays(world)
--- a/src/rhubarbspan/systems/placement.py
+++ b/src/rhubarbspan/systems/placement.py
@@ -3,17 +3,24 @@
 A server that has recently handled a request's object is warm for it: it responds
 several times faster than a cold one and holds a slot for a shorter time. The cost of
 a server is the expected time until its response, plus a charge for the time in the
-slot, which other requests cannot use meanwhile. All instances rank the servers of an
-object in the same order without communicating (rendezvous hashing), so that they
-warm up the same servers.
+slot, which other requests cannot use meanwhile, and one for the object that a cold
+server evicts. Instances tell each other which servers they use for which objects, see
+``object_sharing``. All rank the servers of an object in the same order (rendezvous
+hashing), so that they agree on a server also before they have told each other.
 """
 
+import math
 from dataclasses import dataclass, replace
 
 from ..configuration import Pool, RouteKind
 from ..effects import Effects, LogRequest, StartAttempt
 from ..inputs import Timer
-from ..tables.objects import N_MAX_RANKINGS, RankingRow, UtilisationRow
+from ..tables.objects import (
+    N_MAX_RANKINGS,
+    RankingRow,
+    UtilisationRow,
+    object_digest,
+)
 from ..tables.queues import QueueRow
 from ..tables.requests import RequestRow, RequestState
 from ..tables.servers import ServerRow
@@ -22,13 +29,19 @@
 from .bucketing import rendezvous_score
 from .completion import fail_request
 from .fleet_layout import known_seats
+from .object_sharing import estimate_told, record_use
 from .quarantine import is_quarantined, must_wait, record_start
 from .queueing import pop_next_request, undo_pop
 from .rebalancing import capped_regions, record_sent
 from .slots import is_available
 
 # Cost, as seconds of response time, of each rank further down an object's ranking.
-COST_PER_RANK_S = 0.02
+COST_PER_RANK_S = 0.005
+# Cost of an object that a server evicts, as a fraction of the time that a warm server
+# saves, and the time since its last request in which the cost falls to a third: the
+# object may be asked for again.
+EVICTION_COST_FRACTION = 0.6
+EVICTION_RECALL_S = 8.0
 # Cost, as seconds of response time, of each second in a slot: it delays the requests
 # that wait for the slot.
 SLOT_WEIGHT = 0.5
@@ -41,7 +54,7 @@
 CAPPED_REGION_COST_S = 0.3
 # Cost, as seconds of response time, of each byte that crosses data centres. It matters
 # for uploads.
-BYTE_COST_S = 1.5e-6
+BYTE_COST_S = 1.5e-5
 # Requests beyond its slots that a server may get; they wait inside the server.
 N_MAX_WAITING_IN_SERVER = 3
 # Fraction of the latency objective for which a request may wait in the queue.
@@ -79,6 +92,8 @@
         is_warm: Whether the server has recently handled the request's object.
         expected_s: Expected time until the response.
         n_ahead: Estimated requests that have to end before this one gets a slot.
+        warm_depth: Objects that the server handled since it handled the request's,
+            None if it is not known to have handled it.
     """
 
     server: ServerRow
@@ -86,6 +101,7 @@
     is_warm: bool
     expected_s: float
     n_ahead: float
+    warm_depth: int | None = None
 
 
 def place_requests(world: World, now_s: float, pool: Pool, queue: QueueRow) -> Effects:
@@ -143,7 +159,8 @@
     max_cold_utilisation = (
         URGENT_COLD_RUN_MAX_UTILISATION if is_urgent else COLD_RUN_MAX_UTILISATION
     )
-    if not world.objects.is_warm_in_pool(pool.name, warm_key(row)):
+    key = warm_key(row)
+    if not world.objects.is_warm_in_pool(pool.name, key):
         max_cold_utilisation = URGENT_COLD_RUN_MAX_UTILISATION
     may_run_cold = utilisation < max_cold_utilisation or not row.arrived.object_key
     capped = capped_regions(world, now_s) if row.regions is None else frozenset()
@@ -155,7 +172,7 @@
             continue
         if server.region in capped and server.region != world.identity.region:
             continue
-        candidate = _evaluate_server(world, now_s, pool, row, server, rank)
+        candidate = _evaluate_server(world, now_s, pool, row, server, rank, key)
         if candidate is None or candidate.expected_s > max_expected_s:
             continue
         if server.region in capped:
@@ -197,7 +214,7 @@
         if regions is not None and server.region not in regions:
             continue
         n_slots += server.n_slots or pool.n_slots_per_server
-        n_in_flight += len(server.running) + _estimate_others(server, now_s)
+        n_in_flight += len(server.running) + _reported_others(server, now_s)
     fraction = n_in_flight / n_slots if n_slots else 0.0
     world.objects.utilisations[key] = UtilisationRow(now_s, fraction)
     return fraction
@@ -251,7 +268,9 @@
         if not is_available(server, now_s) or server.running:
             continue
         if _choose_first_sender(world, server) == world.identity.seat:
-            candidate = _evaluate_server(world, now_s, pool, row, server, 0)
+            candidate = _evaluate_server(
+                world, now_s, pool, row, server, 0, warm_key(row)
+            )
             if candidate is not None:
                 return candidate
     return None
@@ -277,11 +296,16 @@
     row: RequestRow,
     server: ServerRow,
     rank: int,
+    key: int,
 ) -> Candidate | None:
     n_slots = server.n_slots or pool.n_slots_per_server
-    n_in_flight = len(server.running) + _estimate_others(server, now_s)
-    if n_in_flight >= n_slots + N_MAX_WAITING_IN_SERVER or server.shed_until_s > now_s:
+    n_running = len(server.running)
+    n_most = n_slots + N_MAX_WAITING_IN_SERVER
+    if n_running + _estimate_others(server, now_s) >= n_most:
+        return None
+    if server.shed_until_s > now_s:
         return None
+    n_in_flight = n_running + _reported_others(server, now_s)
     factor = 1.0
     if _may_have_restarted(world, now_s, server):
         server.cold_until_s = max(server.cold_until_s, now_s + pool.ramp_s)
@@ -303,7 +327,9 @@
         or INITIAL_COLD_OBJECTIVE_FRACTION * objective_s
     )
     cold_s = cold_s if not row.arrived.object_key else max(warm_s, cold_s)
-    is_warm = _is_warm(world, row, server)
+    n_kept = world.objects.memory_of(pool.name).n_objects
+    depth = world.objects.depth_of(server.server_id, key) if key else None
+    is_warm = depth is not None and depth < n_kept
     service_s = (warm_s if is_warm else cold_s) * factor
     n_ahead = max(0.0, n_in_flight + 1 - n_slots)
     wait_s = n_ahead * warm_s / n_slots
@@ -311,7 +337,27 @@
     expected_s = wait_s + service_s + round_trip_s
     cost_s = expected_s + service_s * SLOT_WEIGHT + rank * COST_PER_RANK_S
     cost_s += _bytes_cost_s(world, row, server)
-    return Candidate(server, cost_s, is_warm, expected_s, n_ahead)
+    if key and not is_warm:
+        cost_s += _eviction_cost_s(world, now_s, server, cold_s - warm_s)
+    return Candidate(server, cost_s, is_warm, expected_s, n_ahead, depth)
+
+
+def _eviction_cost_s(
+    world: World, now_s: float, server: ServerRow, saved_s: float
+) -> float:
+    """Return the cost of the object that a server evicts for another one.
+
+    Args:
+        world: The tables.
+        now_s: The present time.
+        server: The server, which is cold for the other object.
+        saved_s: Time that a warm server saves.
+    """
+    used_s = world.objects.next_evicted_s(server.server_id)
+    if used_s is None:
+        return 0.0
+    idle_s = max(0.0, now_s - used_s)
+    return EVICTION_COST_FRACTION * saved_s * math.exp(-idle_s / EVICTION_RECALL_S)
 
 
 def _may_have_restarted(world: World, now_s: float, server: ServerRow) -> bool:
@@ -324,20 +370,15 @@
     return is_overdue and server.last_success_s < listed_s
 
 
-def _is_warm(world: World, row: RequestRow, server: ServerRow) -> bool:
-    key = warm_key(row)
-    return bool(key) and world.objects.is_warm(server.server_id, key)
-
-
-def warm_key(row: RequestRow) -> str:
-    """Return the key under which a server is warm for a request, or an empty string.
+def warm_key(row: RequestRow) -> int:
+    """Return the digest under which a server is warm for a request, or 0.
 
     Servers are warm for an object by route: an order for an object does not speed up
     a look-up of the same object.
     """
     if not row.arrived.object_key:
-        return ""
-    return f"{row.route.name}/{row.arrived.object_key}"
+        return 0
+    return object_digest(row.route.name, row.arrived.object_key)
 
 
 def _round_trip_s(world: World, server: ServerRow) -> float:
@@ -365,10 +406,25 @@
 def _estimate_others(server: ServerRow, now_s: float) -> float:
     """Estimate the requests on a server that this instance did not send.
 
-    The reported number counts less the older the report is.
+    The older the number is that the server reported, the more counts what the other
+    instances told of using it.
+    """
+    weight = _report_weight(server, now_s)
+    return weight * server.n_others + (1.0 - weight) * estimate_told(server, now_s)
+
+
+def _reported_others(server: ServerRow, now_s: float) -> float:
+    """Return the reported number of others' requests; it counts less with its age.
+
+    The wait at a server and the use of a pool are thus found too low rather than too
+    high: otherwise requests would leave warm servers for cold ones, or be refused.
     """
+    return _report_weight(server, now_s) * server.n_others
+
+
+def _report_weight(server: ServerRow, now_s: float) -> float:
     age_s = now_s - server.others_reported_s
-    return server.n_others * max(0.0, 1.0 - age_s / LOAD_REPORT_MAX_AGE_S)
+    return max(0.0, 1.0 - age_s / LOAD_REPORT_MAX_AGE_S)
 
 
 def _may_send_to_cold(
@@ -427,6 +483,7 @@
     row.server_id = server.server_id
     row.sent_s = now_s
     row.was_warm = candidate.is_warm
+    row.warm_depth = candidate.warm_depth
     row.n_ahead = candidate.n_ahead
     server.running[row.request_id] = row.n_attempts
     record_sent(world, now_s, server.region)
@@ -434,7 +491,7 @@
     server.last_sends_s.append(now_s)
     del server.last_sends_s[:-16]
     if row.arrived.object_key:
-        world.objects.record_handled(pool.name, server.server_id, warm_key(row))
+        record_use(world, now_s, pool.name, server, warm_key(row))
     record_start(world, row)
     world.count("attempts", queue.pool)
     line = LogRequest(
@@ -447,6 +504,8 @@
             "attempt": row.n_attempts,
             "object": row.arrived.object_key,
             "is_warm": candidate.is_warm,
+            "warm_depth": -1 if candidate.warm_depth is None else candidate.warm_depth,
+            "n_objects_kept": world.objects.memory_of(pool.name).n_objects,
             "cost_s": round(candidate.cost_s, 4),
             "n_running": len(server.running),
             "n_others": round(_estimate_others(server, now_s), 2),
--- a/src/rhubarbspan/systems/serving.py
+++ b/src/rhubarbspan/systems/serving.py
@@ -3,6 +3,10 @@
 from ..tables.requests import RequestRow
 from ..tables.servers import ServerRow
 from ..world import World
+from .object_sharing import record_response
+
+# Cold service times must be this many times longer than warm ones to tell them apart.
+MIN_COLD_RATIO = 1.7
 
 
 def record_service(
@@ -17,7 +21,32 @@
         return
     if row.n_ahead < 1:
         # A request behind others also waited inside the server.
-        for name in (row.route.name, row.route.pool):
-            world.objects.record_service_time(name, row.was_warm, now_s - row.sent_s)
+        _record_time(world, row, now_s - row.sent_s)
     if row.was_warm:
         world.count("warm", row.route.name)
+
+
+def _record_time(world: World, row: RequestRow, service_s: float) -> None:
+    """Learn warm and cold service times, and how many objects a server keeps.
+
+    Only requests that are certain to have been warm or cold give the service times:
+    those for an object that the server has handled just before, or not lately.
+    """
+    objects = world.objects
+    names = (row.route.name, row.route.pool)
+    if not row.arrived.object_key:
+        objects.record_service_time(row.route.name, False, service_s)
+        return
+    depth = row.warm_depth
+    if depth is None:
+        for name in names:
+            objects.record_service_time(name, False, service_s)
+        return
+    memory = objects.memory_of(row.route.pool)
+    times = objects.service_times_of(row.route.name)
+    if times.warm_s > 0 and times.cold_s > MIN_COLD_RATIO * times.warm_s:
+        was_warm = service_s < (times.warm_s + times.cold_s) / 2
+        record_response(world, row.route.pool, depth, was_warm)
+    if depth < memory.n_objects / 2:
+        for name in names:
+            objects.record_service_time(name, True, service_s)
--- a/src/rhubarbspan/systems/summaries.py
+++ b/src/rhubarbspan/systems/summaries.py
@@ -18,7 +18,9 @@
     is_relay,
     is_two_level,
     local_peers,
+    local_rank,
 )
+from .object_sharing import apply_responses, apply_uses, take_responses, take_uses
 
 # Summaries between two complete ones.
 N_SUMMARIES_PER_COMPLETE_ONE = 5
@@ -41,6 +43,8 @@
 
 
 def _send_summary(world: World, now_s: float) -> Effects:
+    handled = take_uses(world.objects.unsent_local)
+    responses = take_responses(world.objects.unsent_local_responses)
     if not is_relay(world):
         return []
     number = world.heartbeat_sequence // N_HEARTBEATS_PER_SUMMARY
@@ -71,6 +75,9 @@
         is_complete,
         uptime_s=round(now_s - world.started_s, 1),
         revision=world.configuration.revision,
+        # The second relay would only tell them again.
+        handled=handled if local_rank(world) == 0 else {},
+        responses=responses if local_rank(world) == 0 else {},
     )
     return [SendPeerMessage(row.seat, summary) for row in counterpart_relays(world)]
 
@@ -116,6 +123,8 @@
         row.demands = {}
     row.demands.update(summary.demands)
     row.as_of_s = max(row.as_of_s, as_of_s)
+    apply_uses(world, now_s, summary.handled, is_local=False)
+    apply_responses(world, summary.responses, is_local=False)
     if summary.is_passed_on:
         return effects
     passed_on = replace(summary, is_passed_on=True)
--- a/src/rhubarbspan/tables/objects.py
+++ b/src/rhubarbspan/tables/objects.py
@@ -1,10 +1,20 @@
 """The table of objects that backend servers handled recently, and service times."""
 
-from collections import Counter
 from dataclasses import dataclass, field
-
-# Objects that one backend server is assumed to keep in its cache.
-N_OBJECTS_PER_SERVER = 24
+from itertools import islice
+
+import xxhash
+
+# Objects of one backend server that are tracked, more than it may keep in its cache.
+N_TRACKED_PER_SERVER = 40
+# Objects that a server is assumed to keep until responses show how many it keeps, the
+# weight of that assumption, as a number of responses for each object, and the least
+# number that responses may show.
+N_ASSUMED_PER_SERVER = 24
+ASSUMED_WEIGHT = 0.15
+N_MIN_PER_SERVER = 4
+# Bounds the uses of servers that wait to be told to other instances.
+N_MAX_UNSENT = 512
 # Bounds the memory for rankings, which can be computed again at any time.
 N_MAX_RANKINGS = 5_000
 SERVICE_TIME_SMOOTHING = 0.1
@@ -48,59 +58,156 @@
     fraction: float
 
 
+@dataclass(slots=True)
+class MemoryRow:
+    """How many objects the servers of a pool keep, as their responses show.
+
+    Attributes:
+        n_warm: Warm responses, by the number of objects that the server handled since
+            it handled the request's object.
+        n_cold: Cold responses, likewise.
+        n_objects: Number of objects that a server of the pool keeps.
+    """
+
+    n_warm: list[float] = field(
+        default_factory=lambda: [
+            ASSUMED_WEIGHT if depth < N_ASSUMED_PER_SERVER else 0.0
+            for depth in range(N_TRACKED_PER_SERVER)
+        ]
+    )
+    n_cold: list[float] = field(default_factory=lambda: [0.0] * N_TRACKED_PER_SERVER)
+    n_objects: int = N_ASSUMED_PER_SERVER
+
+    def record(self, depth: int, was_warm: bool) -> None:
+        """Add a response, and choose the number that agrees with most of them.
+
+        Args:
+            depth: Number of objects that the server handled since it handled the
+                request's object, below ``N_TRACKED_PER_SERVER``.
+            was_warm: Whether the response took as long as that of a warm server.
+        """
+        (self.n_warm if was_warm else self.n_cold)[depth] += 1.0
+        n_agreeing = sum(self.n_cold)
+        n_most = -1.0
+        for n_objects in range(1, N_TRACKED_PER_SERVER):
+            n_agreeing += self.n_warm[n_objects - 1] - self.n_cold[n_objects - 1]
+            if n_agreeing > n_most and n_objects >= N_MIN_PER_SERVER:
+                n_most = n_agreeing
+                self.n_objects = n_objects
+
+
 @dataclass(slots=True)
 class Objects:
     """Objects by server, service times by route, and rankings by object.
 
+    Objects are told apart by a digest of route and object, servers in messages by a
+    digest of their identifier.
+
     Attributes:
-        latest_objects: Latest objects of each server, least recently used first.
+        latest_objects: Latest objects of each server with the time of their last
+            request, least recently used first. It includes what other instances sent.
         service_times: Service times by route and by pool.
         rankings: Rankings by pool and object.
-        n_warm_servers: Number of servers that handled an object recently, by pool and
-            object.
+        servers_of_object: Servers that handled an object recently, by pool and object.
         pool_of_server: Pool of each server that has objects.
+        memories: How many objects servers keep, by pool.
         utilisations: Utilisation by pool and regions, None for all regions.
+        unsent: Uses of servers that the next heartbeat tells, by server and object.
+        unsent_local: Those of the whole data centre that its next summary tells.
+        unsent_responses: Responses that the next heartbeat tells, by pool: how many
+            objects the server handled since it handled the request's, plus one, and
+            negative for cold ones.
+        unsent_local_responses: Those of the whole data centre.
     """
 
-    latest_objects: dict[str, dict[str, None]] = field(default_factory=dict)
+    latest_objects: dict[str, dict[int, float]] = field(default_factory=dict)
     service_times: dict[str, ServiceTimesRow] = field(default_factory=dict)
     rankings: dict[tuple[str, str], RankingRow] = field(default_factory=dict)
-    n_warm_servers: Counter[tuple[str, str]] = field(default_factory=Counter)
+    servers_of_object: dict[tuple[str, int], dict[str, None]] = field(
+        default_factory=dict
+    )
     pool_of_server: dict[str, str] = field(default_factory=dict)
+    memories: dict[str, MemoryRow] = field(default_factory=dict)
     utilisations: dict[tuple[str, frozenset[str] | None], UtilisationRow] = field(
         default_factory=dict
     )
-
-    def is_warm(self, server_id: str, key: str) -> bool:
+    unsent: list[tuple[int, int]] = field(default_factory=list)
+    unsent_local: list[tuple[int, int]] = field(default_factory=list)
+    unsent_responses: dict[str, list[int]] = field(default_factory=dict)
+    unsent_local_responses: dict[str, list[int]] = field(default_factory=dict)
+
+    def memory_of(self, pool: str) -> MemoryRow:
+        """Return the row of a pool; create it if it is missing."""
+        row = self.memories.get(pool)
+        if row is None:
+            row = self.memories[pool] = MemoryRow()
+        return row
+
+    def depth_of(self, server_id: str, key: int) -> int | None:
+        """Return how many objects a server handled since it handled this one.
+
+        None if it is not known to have handled it.
+        """
+        latest = self.latest_objects.get(server_id)
+        if latest is None or key not in latest:
+            return None
+        for depth, other in enumerate(reversed(latest)):
+            if other == key:
+                return depth
+        return None
+
+    def is_warm(self, server_id: str, key: int) -> bool:
         """Return whether a server handled an object recently."""
-        return key in self.latest_objects.get(server_id, ())
+        depth = self.depth_of(server_id, key)
+        if depth is None:
+            return False
+        return depth < self.memory_of(self.pool_of_server[server_id]).n_objects
 
-    def is_warm_in_pool(self, pool: str, key: str) -> bool:
+    def is_warm_in_pool(self, pool: str, key: int) -> bool:
         """Return whether any server of a pool handled an object recently."""
-        return self.n_warm_servers.get((pool, key), 0) > 0
-
-    def record_handled(self, pool: str, server_id: str, key: str) -> None:
-        """Record that a server handles an object, and evict its oldest ones."""
+        servers = self.servers_of_object.get((pool, key), {})
+        return any(self.is_warm(server_id, key) for server_id in servers)
+
+    def next_evicted_s(self, server_id: str) -> float | None:
+        """Return when the object was last used that a new one would evict.
+
+        None if the server has room for one more.
+        """
+        latest = self.latest_objects.get(server_id)
+        if latest is None:
+            return None
+        n_beyond = (
+            len(latest) - self.memory_of(self.pool_of_server[server_id]).n_objects
+        )
+        if n_beyond < 0:
+            return None
+        return next(islice(latest.values(), n_beyond, None))
+
+    def record_handled(
+        self, pool: str, server_id: str, key: int, used_s: float
+    ) -> None:
+        """Record that a server handles an object, and forget its oldest ones."""
         self.pool_of_server[server_id] = pool
         latest = self.latest_objects.setdefault(server_id, {})
-        if latest.pop(key, self) is self:
-            self.n_warm_servers[pool, key] += 1
-        latest[key] = None
-        while len(latest) > N_OBJECTS_PER_SERVER:
+        if latest.pop(key, None) is None:
+            self.servers_of_object.setdefault((pool, key), {})[server_id] = None
+        latest[key] = used_s
+        while len(latest) > N_TRACKED_PER_SERVER:
             oldest = next(iter(latest))
             del latest[oldest]
-            self._remove_warm_server(pool, oldest)
+            self._remove_server(pool, oldest, server_id)
 
     def forget_server(self, server_id: str) -> None:
         """Forget the objects of a server that restarted or whose evacuation ended."""
         pool = self.pool_of_server.pop(server_id, "")
         for key in self.latest_objects.pop(server_id, {}):
-            self._remove_warm_server(pool, key)
+            self._remove_server(pool, key, server_id)
 
-    def _remove_warm_server(self, pool: str, key: str) -> None:
-        self.n_warm_servers[pool, key] -= 1
-        if self.n_warm_servers[pool, key] <= 0:
-            del self.n_warm_servers[pool, key]
+    def _remove_server(self, pool: str, key: int, server_id: str) -> None:
+        servers = self.servers_of_object.get((pool, key), {})
+        servers.pop(server_id, None)
+        if not servers:
+            self.servers_of_object.pop((pool, key), None)
 
     def service_times_of(self, route: str) -> ServiceTimesRow:
         """Return the service times of a route or pool; create the row if missing."""
@@ -117,3 +224,13 @@
             row.cold_s += (service_s - row.cold_s) * (
                 SERVICE_TIME_SMOOTHING if row.cold_s else 1.0
             )
+
+
+def server_digest(server_id: str) -> int:
+    """Return the number that stands for a server in messages between instances."""
+    return xxhash.xxh32_intdigest(server_id.encode())
+
+
+def object_digest(route: str, object_key: str) -> int:
+    """Return the number that stands for an object on a route; 0 stands for none."""
+    return xxhash.xxh32_intdigest(f"{route}/{object_key}".encode()) or 1
--- a/src/rhubarbspan/tables/requests.py
+++ b/src/rhubarbspan/tables/requests.py
@@ -39,6 +39,8 @@
         regions: Regions that may serve it, or None for all regions.
         n_ahead: Expected number of requests that wait before it inside the server.
         was_warm: Whether the server was expected to be warm for the request's object.
+        warm_depth: Number of objects that the server handled since it handled the
+            request's, or None if it is not known to have handled it.
     """
 
     request_id: int
@@ -64,6 +66,7 @@
     priority: int = 0
     regions: frozenset[str] | None = None
     was_warm: bool = False
+    warm_depth: int | None = None
     n_ahead: float = 0.0
 
 
--- a/src/rhubarbspan/tables/servers.py
+++ b/src/rhubarbspan/tables/servers.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from .objects import server_digest
+
 
 @dataclass(slots=True)
 class ServerRow:
@@ -41,6 +43,9 @@
         n_others: Requests on the server that this instance did not send, as of
             ``others_reported_s``.
         others_reported_s: When ``n_others`` was reported.
+        n_told: Requests on the server that other instances sent, estimated from how
+            often they told of using it, as of ``told_s``.
+        told_s: When ``n_told`` was updated.
         last_sends_s: When this instance sent the latest requests to the server.
     """
 
@@ -79,6 +84,8 @@
     is_evacuated: bool = False
     n_others: float = 0.0
     others_reported_s: float = -1e9
+    n_told: float = 0.0
+    told_s: float = -1e9
     last_sends_s: list[float] = field(default_factory=list)
 
     @property
@@ -101,21 +108,27 @@
         version: Number of additions and removals of servers.
     """
 
-    __slots__ = ("_rows", "_by_pool", "version", "never_used")
+    __slots__ = ("_rows", "_by_pool", "_by_digest", "version", "never_used")
 
     def __init__(self) -> None:
         self.never_used: dict[str, None] = {}
         self.version = 0
         self._rows: dict[str, ServerRow] = {}
         self._by_pool: dict[tuple[str, str], dict[str, ServerRow]] = {}
+        self._by_digest: dict[int, ServerRow] = {}
 
     def get(self, server_id: str) -> ServerRow | None:
         """Return a row, or None."""
         return self._rows.get(server_id)
 
+    def by_digest(self, digest: int) -> ServerRow | None:
+        """Return the row that a number in a message stands for, or None."""
+        return self._by_digest.get(digest)
+
     def add(self, row: ServerRow) -> None:
         """Add a row."""
         self.version += 1
+        self._by_digest[server_digest(row.server_id)] = row
         self._rows[row.server_id] = row
         self._by_pool.setdefault((row.pool, row.region), {})[row.server_id] = row
 
@@ -124,6 +137,7 @@
         self.version += 1
         self.never_used.pop(row.server_id, None)
         del self._rows[row.server_id]
+        self._by_digest.pop(server_digest(row.server_id), None)
         del self._by_pool[row.pool, row.region][row.server_id]
 
     def in_region(self, pool: str, region: str) -> list[ServerRow]:
