Let instances with different layouts of the fleet hear each other

One that sends to all counted those as silent that send only inside their data centre, and saw none of their demand; the two relays of data centres that had lost contact could both try an instance that had crashed, and so never hear of each other.

Change: heartbeats say which layout the sender uses; relays send summaries while any instance of their data centre needs them; what came in summaries may be as late as they are; demand counts from either source. Of a data centre with no instance known to be alive all listed ones are tried. The layout is chosen once a heartbeat.

Measured: both cases of the new test fail before.

--- a/src/rhubarbspan/peer_messages.py
+++ b/src/rhubarbspan/peer_messages.py
@@ -82,6 +82,7 @@
             digests of route and object, by digest of the server's identifier.
         responses: What responses since then show of how many objects the servers of a
             pool keep, encoded as in ``tables.objects``.
+        is_two_level: Whether the sender sends heartbeats only inside its data centre.
     """
 
     seat: str
@@ -103,6 +104,7 @@
     refusing_servers_s: dict[str, float] = field(default_factory=dict)
     handled: dict[int, list[int]] = field(default_factory=dict)
     responses: dict[str, list[int]] = field(default_factory=dict)
+    is_two_level: bool = False
 
 
 @dataclass(slots=True)
--- a/src/rhubarbspan/systems/demand_fractions.py
+++ b/src/rhubarbspan/systems/demand_fractions.py
@@ -91,7 +91,9 @@
                 bucket.holder = choose_holder(bucket.account, holders)
                 fraction = 0.0
         else:
-            demands = _demand_by_data_centre(world, bucket, counted, list(n_counted))
+            demands = _demand_by_data_centre(
+                world, now_s, bucket, counted, list(n_counted)
+            )
             fraction = demands[own_data_centre] / sum(demands.values())
             fraction = _settled_fraction(world, bucket.account, fraction)
             known = division.fractions.get(bucket.account)
@@ -155,7 +157,11 @@
 
 
 def _demand_by_data_centre(
-    world: World, bucket: BucketRow, counted: list[PeerRow], names: list[str]
+    world: World,
+    now_s: float,
+    bucket: BucketRow,
+    counted: list[PeerRow],
+    names: list[str],
 ) -> dict[str, float]:
     """Return the demand that each data centre counts with for an account.
 
@@ -165,25 +171,24 @@
     """
     own_data_centre = world.identity.data_centre
     min_demand = _min_demand_per_s(world, bucket.account)
-    has_summaries = is_two_level(world)
     demands = dict.fromkeys(names, 0.0)
     demands[own_data_centre] = bucket.advertised_demand_per_s
     unheard: set[str] = set()
     for row in counted:
-        is_summarised = has_summaries and row.data_centre != own_data_centre
-        if is_summarised:
-            continue
         reported = row.demands.get(bucket.account)
-        if reported is not None:
+        if reported is not None and now_s - row.demands_s < DEMAND_RETENTION_S:
             demands[row.data_centre] += reported.rate_per_s
         elif row.last_heard_s < 0 and row.data_centre != own_data_centre:
             unheard.add(row.data_centre)
     for name in names:
-        if has_summaries and name != own_data_centre:
-            summary = world.data_centres.get_or_create(name)
-            demands[name] = summary.demands.get(bucket.account, 0.0)
-            if summary.as_of_s < 0:
-                unheard.add(name)
+        summary = world.data_centres.rows.get(name)
+        if name == own_data_centre or summary is None:
+            continue
+        # Of both layouts' figures the larger one counts while both are recent.
+        if now_s - summary.as_of_s < DEMAND_RETENTION_S:
+            unheard.discard(name)
+            demand = summary.demands.get(bucket.account, 0.0)
+            demands[name] = max(demands[name], demand)
     own_demand = max(demands[own_data_centre], min_demand)
     for name in names:
         assumed = own_demand if name in unheard else min_demand
--- a/src/rhubarbspan/systems/fleet_layout.py
+++ b/src/rhubarbspan/systems/fleet_layout.py
@@ -19,9 +19,16 @@
 
 
 def is_two_level(world: World) -> bool:
-    """Return whether heartbeats stay inside data centres, and relays summarise them.
+    """Return whether heartbeats stay inside data centres, and relays summarise them."""
+    return world.is_two_level
 
-    The layout with fewer messages is used, counted over the instances that are known.
+
+def choose_layout(world: World) -> None:
+    """Choose the layout with fewer messages, counted over the known instances.
+
+    Instances may use different layouts for a while, since they do not learn of others
+    at the same time. Those that send heartbeats to all are heard by all; for the others
+    the relays of their data centre send summaries, whatever layout these use.
     """
     n_instances: Counter[str] = Counter([world.identity.data_centre])
     for row in world.peers.rows():
@@ -30,7 +37,16 @@
     n_all = n_instances.total()
     n_local = sum(n * (n - 1) for n in n_instances.values())
     n_across = N_RELAYS * len(n_instances) * (len(n_instances) - 1)
-    return n_all * (n_all - 1) > n_local + n_across
+    world.is_two_level = n_all * (n_all - 1) > n_local + n_across
+
+
+def sends_summaries(world: World) -> bool:
+    """Return whether this instance tells other data centres about its own."""
+    if not is_relay(world):
+        return False
+    return world.is_two_level or any(
+        row.is_alive and row.is_two_level for row in local_peers(world)
+    )
 
 
 def local_peers(world: World) -> list[PeerRow]:
@@ -54,11 +70,12 @@
     return world.departure is None and local_rank(world) < N_RELAYS
 
 
-def relays_by_data_centre(world: World) -> dict[str, list[PeerRow]]:
-    """List the relays of the other data centres, as far as this instance knows.
+def counterpart_relays(world: World) -> list[PeerRow]:
+    """List the instances of the other data centres that this relay exchanges with.
 
-    Of a data centre without instances that are known to be alive, the first listed
-    instances are returned: that is the case before the first summary.
+    Relays exchange with those of the same rank, so that a failed relay interrupts only
+    one of the two ways between data centres. In a data centre of which no instance is
+    known to be alive, all that are listed are tried: any of them may have failed.
     """
     alive: dict[str, list[PeerRow]] = {}
     listed: dict[str, list[PeerRow]] = {}
@@ -69,21 +86,12 @@
             alive.setdefault(row.data_centre, []).append(row)
         elif row.is_listed:
             listed.setdefault(row.data_centre, []).append(row)
-    return {name: rows[:N_RELAYS] for name, rows in {**listed, **alive}.items()}
-
-
-def counterpart_relays(world: World) -> list[PeerRow]:
-    """List the relays of the other data centres that this relay exchanges with.
-
-    Relays exchange with those of the same rank, so that a failed relay interrupts only
-    one of the two ways between data centres.
-    """
     rank = local_rank(world)
-    return [
-        rows[min(rank, len(rows) - 1)]
-        for rows in relays_by_data_centre(world).values()
-        if rows
-    ]
+    found = [rows[min(rank, len(rows) - 1)] for rows in alive.values()]
+    for name, rows in listed.items():
+        if name not in alive:
+            found += rows
+    return found
 
 
 def known_seats(world: World) -> list[str]:
--- a/src/rhubarbspan/systems/membership.py
+++ b/src/rhubarbspan/systems/membership.py
@@ -17,10 +17,11 @@
 from .bucketing import holds_delegated_shares, smoothed_demand_per_s
 from .fleet_layout import (
     N_HEARTBEATS_PER_SUMMARY,
+    choose_layout,
     counterpart_relays,
-    is_relay,
     is_two_level,
     local_peers,
+    sends_summaries,
 )
 from .object_sharing import apply_responses, apply_uses, take_responses, take_uses
 from .revisions import config_age_s
@@ -49,6 +50,7 @@
                 effects += _handle_heartbeat(world, now_s, heartbeat)
     keys = inbox.due(Timer.HEARTBEAT)
     if keys:
+        choose_layout(world)
         effects += _mark_silent_peers(world, now_s)
         effects += _send_heartbeats(world, now_s)
     if PERIODIC in keys:
@@ -108,16 +110,21 @@
         return []
     if is_new_incarnation:
         row.started_s = now_s - heartbeat.uptime_s
+    is_local = row.data_centre == world.identity.data_centre
     row.incarnation = heartbeat.incarnation
     row.sequence = heartbeat.sequence
     row.last_heard_s = now_s
+    row.is_summarised = False
+    row.is_two_level = heartbeat.is_two_level
     row.revision = heartbeat.revision
     row.is_leaving = heartbeat.is_leaving
     row.address = heartbeat.address or row.address
     row.peer_address = heartbeat.peer_address or row.peer_address
     row.loads = {load.pool: load for load in heartbeat.loads}
-    row.demands = {demand.account: demand for demand in heartbeat.demands}
-    is_local = row.data_centre == world.identity.data_centre
+    if is_local or not heartbeat.is_two_level:
+        # Relays leave the demand out of the heartbeats that they exchange.
+        row.demands = {demand.account: demand for demand in heartbeat.demands}
+        row.demands_s = now_s
     apply_uses(world, now_s, heartbeat.handled, is_local)
     apply_responses(world, heartbeat.responses, is_local)
     if row.is_alive:
@@ -132,10 +139,11 @@
     # Of instances in other data centres, relays tell in their summaries.
     interval_s = world.policies.heartbeat_interval_s
     delay_s = N_SUMMARIES_MISSED * N_HEARTBEATS_PER_SUMMARY * interval_s
-    summary_delay_s = delay_s if is_two_level(world) else 0.0
     for row in world.peers.alive():
         is_local = row.data_centre == own_data_centre
-        dead_after_s = world.policies.dead_after_s + summary_delay_s * (not is_local)
+        dead_after_s = world.policies.dead_after_s
+        if not is_local and (row.is_summarised or is_two_level(world)):
+            dead_after_s += delay_s
         if now_s - row.last_heard_s > dead_after_s:
             row.is_alive = False
             level = LogLevel.INFO if row.is_leaving else LogLevel.WARNING
@@ -168,6 +176,7 @@
         },
         handled=take_uses(world.objects.unsent),
         responses=take_responses(world.objects.unsent_responses),
+        is_two_level=is_two_level(world),
     )
     world.heartbeats_sent_s[world.heartbeat_sequence] = now_s
     world.heartbeats_sent_s.pop(world.heartbeat_sequence - N_HEARTBEATS_KEPT, None)
@@ -176,7 +185,7 @@
         for row in heartbeat_receivers(world)
     ]
     is_summary_due = world.heartbeat_sequence % N_HEARTBEATS_PER_SUMMARY == 0
-    if is_summary_due and is_two_level(world) and is_relay(world):
+    if is_summary_due and is_two_level(world) and sends_summaries(world):
         # Relays confirm the configuration to each other, and pass on suspects. Their
         # summaries tell the rest.
         brief = replace(heartbeat, loads=[], demands=[], handled={}, responses={})
--- a/src/rhubarbspan/systems/summaries.py
+++ b/src/rhubarbspan/systems/summaries.py
@@ -15,10 +15,9 @@
 from .fleet_layout import (
     N_HEARTBEATS_PER_SUMMARY,
     counterpart_relays,
-    is_relay,
-    is_two_level,
     local_peers,
     local_rank,
+    sends_summaries,
 )
 from .object_sharing import apply_responses, apply_uses, take_responses, take_uses
 
@@ -37,7 +36,7 @@
             case DataCentreSummary() as summary:
                 effects += _handle_summary(world, now_s, summary)
     is_due = world.heartbeat_sequence % N_HEARTBEATS_PER_SUMMARY == 0
-    if inbox.due(Timer.HEARTBEAT) and is_due and is_two_level(world):
+    if inbox.due(Timer.HEARTBEAT) and is_due:
         effects += _send_summary(world, now_s)
     return effects
 
@@ -45,7 +44,7 @@
 def _send_summary(world: World, now_s: float) -> Effects:
     handled = take_uses(world.objects.unsent_local)
     responses = take_responses(world.objects.unsent_local_responses)
-    if not is_relay(world):
+    if not sends_summaries(world):
         return []
     number = world.heartbeat_sequence // N_HEARTBEATS_PER_SUMMARY
     is_complete = number % N_SUMMARIES_PER_COMPLETE_ONE == 0
@@ -156,7 +155,9 @@
             row.incarnation = member.incarnation
             row.sequence = 0
             row.started_s = as_of_s - member.uptime_s
-        row.last_heard_s = max(row.last_heard_s, as_of_s - member.silent_s)
+        heard_s = as_of_s - member.silent_s
+        row.is_summarised = row.is_summarised or heard_s > row.last_heard_s
+        row.last_heard_s = max(row.last_heard_s, heard_s)
         row.revision = max(row.revision, member.revision)
         row.is_leaving = member.is_leaving
         if not row.is_alive:
--- a/src/rhubarbspan/tables/peers.py
+++ b/src/rhubarbspan/tables/peers.py
@@ -21,6 +21,9 @@
         revision: Revision of the configuration that it reported.
         loads: Load that it reported for the servers that it owns, by pool.
         demands: Demand that it reported, by account.
+        demands_s: When it reported that demand.
+        is_summarised: Whether the newest news of it came in a summary.
+        is_two_level: Whether it sends heartbeats only inside its data centre.
     """
 
     seat: str
@@ -40,6 +43,9 @@
     loads: dict[str, PoolLoad] = field(default_factory=dict)
     demands: dict[str, AccountDemand] = field(default_factory=dict)
     offered_sequence: int = 0
+    demands_s: float = -1e9
+    is_summarised: bool = False
+    is_two_level: bool = False
 
 
 class Peers:
--- a/src/rhubarbspan/world.py
+++ b/src/rhubarbspan/world.py
@@ -127,6 +127,8 @@
         demand_fractions: Fraction of each account's limit that this instance refills,
             by its fraction of the demand.
         splits: Requests sent to each pool of a split route, by route.
+        is_two_level: Whether this instance sends heartbeats only inside its data
+            centre; relays tell the others in summaries.
         store_access: How this instance learns what the store holds.
         store_updates_due_s: By prefix of the store, when the next reading of another
             instance is due.
@@ -173,6 +175,7 @@
     splits: dict[str, SplitRow] = field(default_factory=dict)
     data_centres: DataCentres = field(default_factory=DataCentres)
     limit_division: LimitDivision = field(default_factory=LimitDivision)
+    is_two_level: bool = False
     store_access: StoreAccess = StoreAccess.READER
     store_updates_due_s: dict[str, float] = field(default_factory=dict)
     demand_fractions: dict[str, float] = field(default_factory=dict)
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -7,7 +7,8 @@
 
 from rhubarbspan.edge.feed import Feed, Mirror
 from rhubarbspan.effects import SendPeerMessage, StoreAccess
-from rhubarbspan.inputs import PeerMessageReceived, StoreRead
+from rhubarbspan.inputs import PeerListing as Listing
+from rhubarbspan.inputs import PeerMessageReceived, PeersListed, StoreRead
 from rhubarbspan.peer_messages import StoreItem, StoreUpdate
 from rhubarbspan.systems.fleet_layout import is_relay, is_two_level
 from rhubarbspan.systems.limit_keepers import choose_keeper
@@ -295,3 +296,31 @@
                 demands[rng.choice(seats)] += 1
         fleet.tick(now_s, demands)
     assert fleet.max_admitted_in_a_window() <= _bound(rate_per_s)
+
+
+# Near the size at which the layout changes, instances with different lists of the fleet
+# use different layouts for a while.
+@pytest.mark.parametrize("n_instances", [7, 8])
+def test_instances_with_different_layouts_hear_each_other(n_instances: int) -> None:
+    rate_per_s = 60.0
+    fleet = Fleet(n_instances, rate_per_s, DATA_CENTRES[:6])
+    rng = random.Random(1)
+    seats = list(fleet.worlds)
+    for seat in seats[::2]:
+        # These know of more instances, which have crashed but are still listed.
+        crashed = [Listing(f"gone-{n}", "", "", DATA_CENTRES[n % 6]) for n in range(6)]
+        listed = PeersListed([*fleet.listings(), *crashed])
+        run_tick(fleet.worlds[seat], 0.0, [listed])
+    for step in range(int(LENGTH_S / STEP_S)):
+        now_s = step * STEP_S
+        demands = dict.fromkeys(seats, 0)
+        if now_s >= 3:
+            for _ in range(_poisson(rng, 4 * rate_per_s * STEP_S)):
+                demands[rng.choice(seats)] += 1
+        fleet.tick(now_s, demands)
+    assert {is_two_level(world) for world in fleet.worlds.values()} == {True, False}
+    silent = [text for _, text in fleet.changes if "is silent" in text]
+    assert not silent
+    for world in fleet.worlds.values():
+        assert len(world.peers.alive()) == n_instances - 1
+    assert fleet.max_admitted_in_a_window() <= _bound(rate_per_s)
--- a/tests/test_sums.py
+++ b/tests/test_sums.py
@@ -9,7 +9,7 @@
 
 from rhubarbspan.document import Document, Snapshot
 from rhubarbspan.edge.instance import DEMAND_HALF_LIFE_S
-from rhubarbspan.effects import LogRequest, SendPeerMessage
+from rhubarbspan.effects import LogChange, LogRequest, SendPeerMessage
 from rhubarbspan.inputs import (
     ConfigurationReceived,
     Input,
@@ -68,6 +68,7 @@
         isolated: Data centres whose instances reach only each other.
         paused: Instances that do nothing until they resume.
         n_messages: Messages between data centres that were sent.
+        changes: Changes of state that the instances logged, with their seats.
     """
 
     __slots__ = (
@@ -76,6 +77,7 @@
         "isolated",
         "paused",
         "n_messages",
+        "changes",
         "unconfirmed",
         "n_requests",
         "admitted_s",
@@ -120,6 +122,7 @@
         self.isolated: set[str] = set()
         self.paused: set[str] = set()
         self.n_messages = 0
+        self.changes: list[tuple[str, str]] = []
         self._in_transit: dict[str, list[PeerMessageReceived]] = {}
         self.n_requests = 0
         self.admitted_s: list[float] = []
@@ -182,8 +185,12 @@
             self.admitted_s += [now_s] * (_n_admitted(world) - before)
 
     def _deliver(self, seat: str, effect: object) -> None:
+        if isinstance(effect, LogChange):
+            self.changes.append((seat, effect.text))
         if not isinstance(effect, SendPeerMessage) or self.cut & {seat, effect.seat}:
             return
+        if effect.seat not in self.worlds:
+            return
         data_centres = {
             self.worlds[name].identity.data_centre for name in (seat, effect.seat)
         }
