Hand servers over to an instance that starts while the store is away

Change: heartbeats say whether the sender knows any server; the first live instance of its data centre hands over those that it uses, without those that leave, and which data centres are evacuated. A list from the store goes before.

--- a/src/rhubarbspan/peer_messages.py
+++ b/src/rhubarbspan/peer_messages.py
@@ -83,6 +83,8 @@
         responses: What responses since then show of how many objects the servers of a
             pool keep, encoded as in ``tables.objects``.
         is_two_level: Whether the sender sends heartbeats only inside its data centre.
+        knows_servers: Whether the sender knows any backend server. Earlier versions do
+            not send it.
     """
 
     seat: str
@@ -105,6 +107,7 @@
     handled: dict[int, list[int]] = field(default_factory=dict)
     responses: dict[str, list[int]] = field(default_factory=dict)
     is_two_level: bool = False
+    knows_servers: bool = True
 
 
 @dataclass(slots=True)
@@ -390,6 +393,41 @@
     is_stale: bool = False
 
 
+@dataclass(slots=True)
+class KnownServer:
+    """A backend server that an instance uses.
+
+    Attributes:
+        n_slots: Slots, or 0 if not known.
+        incarnation: Start of the server's process in Unix milliseconds.
+        cold_s: Remaining time for which it counts as cold.
+        sequence: Sequence number of its newest report.
+    """
+
+    server_id: str
+    pool: str
+    address: str
+    data_centre: str
+    n_slots: int
+    incarnation: int
+    cold_s: float
+    sequence: int
+
+
+@dataclass(slots=True)
+class ServerHandover:
+    """The servers that an instance uses, for a peer that knows none.
+
+    Attributes:
+        evacuated: Data centres that an operator has evacuated.
+    """
+
+    seat: str
+    incarnation: int
+    servers: list[KnownServer]
+    evacuated: list[str]
+
+
 PeerMessage = (
     Heartbeat
     | ConfigurationRequest
@@ -404,4 +442,5 @@
     | SlotReturn
     | DataCentreSummary
     | StoreUpdate
+    | ServerHandover
 )
--- a/src/rhubarbspan/systems/health.py
+++ b/src/rhubarbspan/systems/health.py
@@ -86,12 +86,12 @@
     for server in listed.servers:
         known = world.servers.get(server.server_id)
         if known is None:
-            _add_server(world, now_s, server)
+            add_server(world, now_s, server)
         else:
             effects += _refresh_server(known, server)
         current = world.servers.get(server.server_id)
         if current is not None:
-            effects += _apply_record(world, now_s, current, server)
+            effects += apply_record(world, now_s, current, server)
     return effects
 
 
@@ -111,7 +111,7 @@
     return n_missing > OUTAGE_MISSING_FRACTION * len(staying)
 
 
-def _apply_record(
+def apply_record(
     world: World, now_s: float, row: ServerRow, server: ServerListing
 ) -> Effects:
     """Apply a server's registration; a new incarnation resets what was measured."""
@@ -191,7 +191,8 @@
     row.others_reported_s = now_s
 
 
-def _add_server(world: World, now_s: float, server: ServerListing) -> None:
+def add_server(world: World, now_s: float, server: ServerListing) -> None:
+    """Add a server that was listed or handed over."""
     row = ServerRow(
         server.server_id,
         server.pool,
--- a/src/rhubarbspan/systems/membership.py
+++ b/src/rhubarbspan/systems/membership.py
@@ -116,6 +116,7 @@
     row.last_heard_s = now_s
     row.is_summarised = False
     row.is_two_level = heartbeat.is_two_level
+    row.knows_servers = heartbeat.knows_servers
     row.revision = heartbeat.revision
     row.is_leaving = heartbeat.is_leaving
     row.address = heartbeat.address or row.address
@@ -177,6 +178,7 @@
         handled=take_uses(world.objects.unsent),
         responses=take_responses(world.objects.unsent_responses),
         is_two_level=is_two_level(world),
+        knows_servers=bool(world.servers.rows()) or not world.configuration.pools,
     )
     world.heartbeats_sent_s[world.heartbeat_sequence] = now_s
     world.heartbeats_sent_s.pop(world.heartbeat_sequence - N_HEARTBEATS_KEPT, None)
--- a/src/rhubarbspan/tables/peers.py
+++ b/src/rhubarbspan/tables/peers.py
@@ -23,6 +23,7 @@
         demands: Demand that it reported, by account.
         demands_s: When it reported that demand.
         is_summarised: Whether the newest news of it came in a summary.
+        knows_servers: Whether it knows any backend server.
         is_two_level: Whether it sends heartbeats only inside its data centre.
     """
 
@@ -46,6 +47,7 @@
     demands_s: float = -1e9
     is_summarised: bool = False
     is_two_level: bool = False
+    knows_servers: bool = True
 
 
 class Peers:
--- a/src/rhubarbspan/tick.py
+++ b/src/rhubarbspan/tick.py
@@ -17,6 +17,7 @@
 from .systems.outcomes import handle_ended_attempts
 from .systems.quarantine import update_suspects
 from .systems.revisions import apply_revisions
+from .systems.server_handover import hand_over_servers
 from .systems.steering import steer
 from .systems.store_readers import share_store_reads
 from .systems.summaries import exchange_summaries
@@ -30,6 +31,7 @@
     exchange_summaries,
     share_store_reads,
     watch_servers,
+    hand_over_servers,
     update_suspects,
     handle_ended_attempts,
     expire_requests,
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -7,9 +7,16 @@
 
 from rhubarbspan.edge.feed import Feed, Mirror
 from rhubarbspan.effects import SendPeerMessage, StoreAccess
+from rhubarbspan.inputs import (
+    EvacuationsListed,
+    PeerMessageReceived,
+    PeersListed,
+    ServerListing,
+    ServersListed,
+    StoreRead,
+)
 from rhubarbspan.inputs import PeerListing as Listing
-from rhubarbspan.inputs import PeerMessageReceived, PeersListed, StoreRead
-from rhubarbspan.peer_messages import StoreItem, StoreUpdate
+from rhubarbspan.peer_messages import ServerHandover, StoreItem, StoreUpdate
 from rhubarbspan.systems.fleet_layout import is_relay, is_two_level
 from rhubarbspan.systems.limit_keepers import choose_keeper
 from rhubarbspan.tick import run_tick
@@ -324,3 +331,33 @@
     for world in fleet.worlds.values():
         assert len(world.peers.alive()) == n_instances - 1
     assert fleet.max_admitted_in_a_window() <= _bound(rate_per_s)
+
+
+def test_instance_that_starts_in_an_outage_takes_over_the_servers_of_a_peer() -> None:
+    fleet = Fleet(3)
+    listings = [
+        ServerListing("i-0", "shop", "x:1", "a-1", n_slots=2, incarnation=1),
+        ServerListing("i-1", "shop", "x:2", "a-1", n_slots=2, incarnation=1),
+        ServerListing("i-2", "shop", "x:3", "a-1", True, n_slots=2, incarnation=1),
+        ServerListing("i-3", "shop", "x:4", "b-1", n_slots=2, incarnation=1),
+    ]
+    for seat in ("n-0", "n-1"):
+        inputs = [
+            EvacuationsListed(frozenset({"b-1"})),
+            ServersListed("shop", listings),
+        ]
+        run_tick(fleet.worlds[seat], 0.0, inputs)
+    world = fleet.worlds["n-2"]
+    handovers = []
+    for step in range(40):
+        for item in fleet.in_transit("n-2"):
+            if isinstance(item.message, ServerHandover):
+                handovers.append(item)
+        fleet.tick(step * STEP_S, {})
+    # Neither the server that leaves nor that of the evacuated data centre.
+    assert {row.server_id for row in world.servers.rows()} == {"i-0", "i-1"}
+    assert {item.message.seat for item in handovers} == {"n-0"}
+    assert world.evacuated == {"b-1"}
+    # What the store lists goes before, also when a handover arrives late.
+    run_tick(world, 2.1, [ServersListed("shop", listings[:1]), *handovers])
+    assert {row.server_id for row in world.servers.rows()} == {"i-0"}
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -80,7 +80,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(health, "_apply_evacuations", lambda *arguments: [])
-    monkeypatch.setattr(health, "_apply_record", lambda *arguments: [])
+    monkeypatch.setattr(health, "apply_record", lambda *arguments: [])
     assert _finds_violation("was evacuated")
 
 
