Let a region with few servers leave objects to other regions

Cause: norte of the large site has 47 of 384 servers and a third of the callers. An instance of 79 hears of a server's load too rarely to notice.

Change: a region keeps as many of a pool's objects as fit 1.25 times its equal part of requests for each slot, from the lists of instances and servers; the others, the same ones at all instances, see its servers as 0.3 s further away.

--- a/src/rhubarbspan/systems/fleet_layout.py
+++ b/src/rhubarbspan/systems/fleet_layout.py
@@ -95,9 +95,14 @@
 
 
 def known_seats(world: World) -> list[str]:
-    """List the seats of the other instances among which sums are divided.
+    """List the seats of the other instances among which sums are divided."""
+    return [row.seat for row in known_rows(world)]
+
+
+def known_rows(world: World) -> list[PeerRow]:
+    """List the other instances that may be running.
 
     Those that are silent count while they are listed: they may be cut off only from
     this instance.
     """
-    return [row.seat for row in world.peers.rows() if row.is_alive or row.is_listed]
+    return [row for row in world.peers.rows() if row.is_alive or row.is_listed]
--- a/src/rhubarbspan/systems/placement.py
+++ b/src/rhubarbspan/systems/placement.py
@@ -34,6 +34,7 @@
 from .quarantine import is_quarantined, must_wait, record_start
 from .queueing import pop_next_request, undo_pop
 from .rebalancing import capped_regions, record_sent
+from .region_share import stays_home
 from .slots import is_available
 
 # Cost, as seconds of response time, of each rank further down an object's ranking.
@@ -53,6 +54,9 @@
 # Cost of the own region, as seconds of response time, while its fraction of the
 # requests must not grow.
 CAPPED_REGION_COST_S = 0.3
+# Cost of the own region, as seconds of response time, for objects that it leaves to
+# other regions.
+AWAY_COST_S = 0.3
 # Cost, as seconds of response time, of each byte that crosses data centres. It matters
 # for uploads.
 BYTE_COST_S = 1.5e-5
@@ -114,6 +118,7 @@
         max_expected_s: Longest expected time until the response that is acceptable.
         capped: Regions whose fraction of the requests must not grow.
         service: Service times to expect.
+        stays_home: Whether the servers of the own region are to be preferred.
         best: Best candidate so far.
         best_unavailable: Best so far of those that failed probes or were ejected.
         cold_known: Servers that handled the object, but are cold for it now.
@@ -123,6 +128,7 @@
     max_expected_s: float
     capped: frozenset[str]
     service: ServiceTimesRow
+    stays_home: bool = True
     best: Candidate | None = None
     best_unavailable: Candidate | None = None
     cold_known: dict[str, Candidate] = field(default_factory=dict)
@@ -182,6 +188,7 @@
         _max_expected_s(world, now_s, row, utilisation, is_urgent),
         capped_regions(world, now_s) if row.regions is None else frozenset(),
         _expected_service(world, pool, row),
+        row.regions is not None or stays_home(world, now_s, pool, warm_key(row)),
     )
     # Only servers that are known to have handled the object can be warm. In a large
     # pool few have, so that those are tried first.
@@ -242,6 +249,8 @@
     candidate = _evaluate_server(world, now_s, pool, row, server, search)
     if candidate is None or candidate.expected_s > search.max_expected_s:
         return
+    if server.region == world.identity.region and not search.stays_home:
+        candidate.cost_s += AWAY_COST_S
     if is_capped:
         # Only the own region gets this far. The cost makes its traffic return in
         # steps, but requests aren't refused for it.
--- a/src/rhubarbspan/tables/objects.py
+++ b/src/rhubarbspan/tables/objects.py
@@ -58,6 +58,14 @@
     fraction: float
 
 
+@dataclass(frozen=True, slots=True)
+class HomeFractionRow:
+    """Fraction of a pool's objects that stay in the own region, at ``computed_s``."""
+
+    computed_s: float
+    fraction: float
+
+
 @dataclass(slots=True)
 class MemoryRow:
     """How many objects the servers of a pool keep, as their responses show.
@@ -112,6 +120,7 @@
         pool_of_server: Pool of each server that has objects.
         memories: How many objects servers keep, by pool.
         utilisations: Utilisation by pool and regions, None for all regions.
+        home_fractions: Fraction of the objects that stay in the own region, by pool.
         unsent: Uses of servers that the next heartbeat tells, by server and object.
         unsent_local: Those of the whole data centre that its next summary tells.
         unsent_responses: Responses that the next heartbeat tells, by pool: how many
@@ -131,6 +140,7 @@
     utilisations: dict[tuple[str, frozenset[str] | None], UtilisationRow] = field(
         default_factory=dict
     )
+    home_fractions: dict[str, HomeFractionRow] = field(default_factory=dict)
     unsent: list[tuple[int, int]] = field(default_factory=list)
     unsent_local: list[tuple[int, int]] = field(default_factory=list)
     unsent_responses: dict[str, list[int]] = field(default_factory=dict)
--- a/tests/test_spreading.py
+++ b/tests/test_spreading.py
@@ -21,8 +21,11 @@
     ServersListed,
 )
 from rhubarbspan.policies import DemandShares, ObjectPlacement, Policies
+from rhubarbspan.systems.region_share import stays_home
+from rhubarbspan.tables.objects import object_digest
 from rhubarbspan.tick import run_tick
 from rhubarbspan.world import Identity, World, create_world
+from test_sums import Fleet
 
 # Largest fraction of a region's requests that may change their region per window.
 MAX_MOVED_FRACTION = 0.15
@@ -199,3 +202,37 @@
     simulation.run(30.0, 2.1, "/home/x")
     sent = simulation._regions(start_s, simulation.now_s)
     assert sent["b"] >= 59
+
+
+# A region with a fifth of another's servers and the same callers would fill its servers
+# while those of the other region are idle.
+@pytest.mark.parametrize(("n_servers", "expected"), [(2, 0.34), (5, 0.75), (20, 1.0)])
+def test_region_keeps_as_many_objects_as_fit_its_servers(
+    n_servers: int, expected: float
+) -> None:
+    world = Fleet(9, data_centres=("a-1", "b-1", "c-1")).worlds["n-0"]
+    listings = [
+        ServerListing(f"{name}{n}", "shop", f"x:{n}", f"{name}-1", n_slots=3)
+        for name, n_of_region in (("a", n_servers), ("b", 10), ("c", 10))
+        for n in range(n_of_region)
+    ]
+    run_tick(world, 1.0, [ServersListed("shop", listings)])
+    pool = world.configuration.pools["shop"]
+    n_home = sum(
+        stays_home(world, 1.0, pool, object_digest("look", str(number)))
+        for number in range(1000)
+    )
+    # 1.25 times an equal part of the requests for each slot, a third for each region.
+    assert n_home / 1000 == pytest.approx(expected, abs=0.05)
+
+
+def test_region_without_instances_takes_no_objects_from_others() -> None:
+    world = Fleet(3, data_centres=("a-1",)).worlds["n-0"]
+    listings = [
+        ServerListing(f"{name}{n}", "shop", f"x:{n}", f"{name}-1", n_slots=3)
+        for name in ("a", "b")
+        for n in range(4)
+    ]
+    run_tick(world, 1.0, [ServersListed("shop", listings)])
+    pool = world.configuration.pools["shop"]
+    assert stays_home(world, 1.0, pool, (1 << 32) - 1)
