Decode the records of servers once, and publish only changes

Cause: each reading of the store, own or passed on, decoded all records of servers (about 400 on the large site) and the operator's configuration again, two readings in 1.6 s at each instance, also when nothing had changed.

Change: decoded records and the translated configuration are kept while their bytes are the same; a reading without changes only says that the list is current, except for 5 s after a complete one, since servers that were kept after an outage are dropped by a later list.

--- a/src/rhubarbspan/edge/feed.py
+++ b/src/rhubarbspan/edge/feed.py
@@ -16,6 +16,7 @@
     RevisionConfirmed,
     ServerListing,
     ServersListed,
+    ServersUnchanged,
     StoreRead,
     StoreRecovered,
 )
@@ -56,6 +57,8 @@
 MAX_AGE_FRACTION = 0.95
 # Delay of a watch and of the message that passes its result on.
 LISTING_MARGIN_S = 0.6
+# Longer than servers are kept whose records are missing after an outage.
+FULL_READ_PUBLISH_S = 5.0
 # Stands for the time of a confirmation that is not one.
 NEVER_S = -1e9
 
@@ -80,6 +83,9 @@
         revision: Revision of the store that the copy is at, 0 if it must be read anew.
         values: Values by key.
         is_failing: Whether the last call failed.
+        changed_until_s: Until when the copy is published also if nothing changed:
+            servers that were kept after an outage are dropped by a later list.
+        published_revision: Revision of the configuration when it was published last.
         may_read: Set while this instance has to read: when it is a reader, or when the
             copy must be read anew.
     """
@@ -90,9 +96,19 @@
     revision: int = 0
     values: dict[str, bytes | None] = field(default_factory=dict)
     is_failing: bool = False
+    changed_until_s: float = 0.0
+    published_revision: int = 0
     may_read: asyncio.Event = field(default_factory=asyncio.Event)
 
 
+@dataclass(frozen=True, slots=True)
+class _Translated:
+    """The operator's configuration, with what it was translated from."""
+
+    source: tuple[bytes, dict[str, str], float]
+    result: TranslatedConfiguration | Failure
+
+
 class Feed:
     """Watches three prefixes: the operator's, the servers' and the instances'.
 
@@ -111,6 +127,8 @@
         "_malformed",
         "_mirrors",
         "_access",
+        "_servers",
+        "_translated",
     )
 
     def __init__(
@@ -123,6 +141,8 @@
         self._malformed: dict[str, bytes | None] = {}
         self._mirrors: dict[str, Mirror] = {}
         self._access = StoreAccess.READER
+        self._servers: dict[str, tuple[bytes | None, ServerListing | Failure]] = {}
+        self._translated: _Translated | None = None
 
     def start(self) -> None:
         """Start the watches."""
@@ -160,8 +180,10 @@
             mirror.may_read.set()
             return
         items = [Item(row.key, row.value, row.is_deleted) for row in update.items]
-        _apply(mirror, Reading(items, update.revision), update.after == 0)
-        self._publish(mirror, None)
+        reading = Reading(items, update.revision)
+        is_full_read = update.after == 0
+        _apply(mirror, reading, is_full_read)
+        self._publish_changes(mirror, reading, is_full_read, None)
 
     async def stop(self) -> None:
         """Stop the watches."""
@@ -214,7 +236,8 @@
                 # The watch found no change, so the copy is current up to the end of the
                 # wait, less the lag of a watch.
                 requested_s += max(0.0, mirror.wait_s - MAX_WATCH_LAG_S)
-            self._publish(mirror, None if is_stale else requested_s)
+            confirmed_s = None if is_stale else requested_s
+            self._publish_changes(mirror, reading, is_full_read, confirmed_s)
             self._pass_on(mirror, reading, after, is_stale)
             if self._access is StoreAccess.FOLLOWER:
                 mirror.may_read.clear()
@@ -230,6 +253,27 @@
         )
         self._ticker.inputs.on_next(StoreRead(update))
 
+    def _publish_changes(
+        self,
+        mirror: Mirror,
+        reading: Reading,
+        is_full_read: bool,
+        requested_s: float | None,
+    ) -> None:
+        """Publish a copy of the store, or only that it is current if it is the same."""
+        now_s = self._ticker.now_s()
+        if is_full_read:
+            mirror.changed_until_s = now_s + FULL_READ_PUBLISH_S
+        revision = self._ticker.world.configuration.revision
+        is_same = not reading.items and now_s >= mirror.changed_until_s
+        if not is_same or mirror.published_revision != revision:
+            mirror.published_revision = revision
+            self._publish(mirror, requested_s)
+        elif mirror.prefix == SERVER_PREFIX:
+            self._ticker.inputs.on_next(ServersUnchanged())
+        elif mirror.prefix == OPERATOR_PREFIX and requested_s is not None:
+            self._publish_operator(mirror, requested_s)
+
     def _publish(self, mirror: Mirror, requested_s: float | None) -> None:
         """Publish a copy of the store.
 
@@ -258,9 +302,7 @@
         value = mirror.values.get(CONFIGURATION_KEY)
         if value is None:
             return
-        max_age_s = MAX_AGE_FRACTION * self.settings.bounds.revocation_s
-        translated = translate_configuration(value, self.settings.regions, max_age_s)
-        match translated:
+        match self._translate(value):
             case Failure(reason=reason):
                 self._report_malformed(CONFIGURATION_KEY, value, reason)
             case TranslatedConfiguration(revision=revision, document=document):
@@ -276,12 +318,32 @@
                     )
                     self._ticker.inputs.on_next(received)
 
+    def _translate(self, value: bytes) -> TranslatedConfiguration | Failure:
+        """Translate the operator's configuration, unless it is the one before."""
+        max_age_s = MAX_AGE_FRACTION * self.settings.bounds.revocation_s
+        source = (value, self.settings.regions, max_age_s)
+        if self._translated is None or self._translated.source != source:
+            result = translate_configuration(*source)
+            self._translated = _Translated(source, result)
+        return self._translated.result
+
+    def _decode_server(self, key: str, value: bytes | None) -> ServerListing | Failure:
+        """Decode a server's record, unless it is the one before."""
+        known = self._servers.get(key)
+        if known is not None and known[0] == value:
+            return known[1]
+        server = decode_server(key, value or b"")
+        self._servers[key] = (value, server)
+        return server
+
     def _publish_servers(self, mirror: Mirror) -> None:
+        for key in self._servers.keys() - mirror.values.keys():
+            del self._servers[key]
         by_pool: dict[str, list[ServerListing]] = {
             pool: [] for pool in self._ticker.world.configuration.pools
         }
         for key, value in mirror.values.items():
-            server = decode_server(key, value or b"")
+            server = self._decode_server(key, value)
             if isinstance(server, Failure):
                 self._report_malformed(key, value, server.reason)
             else:
--- a/src/rhubarbspan/inputs.py
+++ b/src/rhubarbspan/inputs.py
@@ -140,6 +140,11 @@
     sequence: int = 0
 
 
+@dataclass(slots=True)
+class ServersUnchanged:
+    """The platform's lists of backend servers are still as they were delivered."""
+
+
 @dataclass(slots=True)
 class ServersListed:
     """The platform delivered the list of a pool's backend servers."""
@@ -317,6 +322,7 @@
     | CallerDisconnected
     | AttemptEnded
     | ServersListed
+    | ServersUnchanged
     | EvacuationsListed
     | ServerLoadReported
     | StoreRead
--- a/src/rhubarbspan/systems/health.py
+++ b/src/rhubarbspan/systems/health.py
@@ -15,6 +15,7 @@
     ServerListing,
     ServerLoadReported,
     ServersListed,
+    ServersUnchanged,
     StoreRecovered,
     Timer,
 )
@@ -49,7 +50,8 @@
     for load in inbox.of(ServerLoadReported):
         _update_load(world, now_s, load)
     listings = inbox.of(ServersListed)
-    if listings:
+    are_unchanged = bool(inbox.of(ServersUnchanged))
+    if listings or are_unchanged:
         world.servers_listed_s = now_s
     for listed in listings:
         effects += _update_listing(world, now_s, listed)
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from rhubarbspan.edge import feed as feed_module
 from rhubarbspan.edge.feed import Feed, Mirror
 from rhubarbspan.effects import SendPeerMessage, StoreAccess
 from rhubarbspan.inputs import (
@@ -13,6 +14,7 @@
     PeersListed,
     ServerListing,
     ServersListed,
+    ServersUnchanged,
     StoreRead,
 )
 from rhubarbspan.inputs import PeerListing as Listing
@@ -203,12 +205,19 @@
     fleet = Fleet(1)
 
     class Inputs:
+        def __init__(self) -> None:
+            self.items: list[object] = []
+
         def on_next(self, item: object) -> None:
-            pass
+            self.items.append(item)
 
     class Ticker:
         world = fleet.worlds["n-0"]
         inputs = Inputs()
+        time_s = 0.0
+
+        def now_s(self) -> float:
+            return self.time_s
 
     made = Feed(Ticker(), None, None)  # type: ignore[arg-type]
     made._mirrors["servers/"] = Mirror("servers/", 1.0, 1.0)
@@ -361,3 +370,37 @@
     # What the store lists goes before, also when a handover arrives late.
     run_tick(world, 2.1, [ServersListed("shop", listings[:1]), *handovers])
     assert {row.server_id for row in world.servers.rows()} == {"i-0"}
+
+
+# Decoding all records at each reading took most of an instance's processor time where
+# there are hundreds of servers.
+def test_reading_without_changes_only_says_that_the_list_is_current(
+    feed: Feed, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    decoded: list[str] = []
+
+    def decode(key: str, value: bytes) -> ServerListing:
+        decoded.append(key)
+        return ServerListing(key, "shop", "x:1", "a-1")
+
+    monkeypatch.setattr(feed_module, "decode_server", decode)
+    ticker = feed._ticker
+    items = [StoreItem(f"servers/{number}", b"1") for number in range(3)]
+    feed.apply_update(_update(0, 10, *items))
+    ticker.time_s = 6.0  # type: ignore[attr-defined]
+    ticker.inputs.items.clear()  # type: ignore[attr-defined]
+    feed.apply_update(_update(10, 12))
+    assert ticker.inputs.items == [ServersUnchanged()]  # type: ignore[attr-defined]
+    feed.apply_update(_update(12, 13, StoreItem("servers/1", b"2")))
+    (listed,) = [
+        item
+        for item in ticker.inputs.items  # type: ignore[attr-defined]
+        if isinstance(item, ServersListed)
+    ]
+    assert len(listed.servers) == 3
+    assert sorted(decoded) == [
+        "servers/0",
+        "servers/1",
+        "servers/1",
+        "servers/2",
+    ]
