Hear an instance that starts after its clock stepped back

Cause: the incarnation of an instance is the time of day at its start, the one place where the wall clock enters a decision. After a step back by seconds a process that started again had a smaller one, and its peers took all its heartbeats as outdated.

Change: an earlier incarnation is outdated only while a later one is alive.

Measured: the new test fails before; 114 tests of limits, fleets and crashes pass.

--- a/src/rhubarbspan/systems/membership.py
+++ b/src/rhubarbspan/systems/membership.py
@@ -103,9 +103,9 @@
         return []
     data_centre = heartbeat.data_centre or heartbeat.seat.rpartition("-")[0]
     row = _get_or_create_row(world, heartbeat.seat, data_centre)
-    if heartbeat.incarnation < row.incarnation:
+    if is_outdated(row, heartbeat.incarnation):
         return []
-    is_new_incarnation = heartbeat.incarnation > row.incarnation
+    is_new_incarnation = heartbeat.incarnation != row.incarnation
     if not is_new_incarnation and heartbeat.sequence <= row.sequence:
         return []
     if is_new_incarnation:
@@ -134,6 +134,15 @@
     return [LogChange(LogLevel.INFO, f"instance {row.seat} is alive")]
 
 
+def is_outdated(row: PeerRow, incarnation: int) -> bool:
+    """Return whether a message is from an earlier incarnation than the one in use.
+
+    Incarnations are times of day, which may step back before a process starts again:
+    once the later incarnation is silent, an earlier one takes its place.
+    """
+    return incarnation < row.incarnation and row.is_alive
+
+
 def _mark_silent_peers(world: World, now_s: float) -> Effects:
     effects: Effects = []
     own_data_centre = world.identity.data_centre
--- a/src/rhubarbspan/systems/summaries.py
+++ b/src/rhubarbspan/systems/summaries.py
@@ -19,6 +19,7 @@
     local_rank,
     sends_summaries,
 )
+from .membership import is_outdated
 from .object_sharing import apply_responses, apply_uses, take_responses, take_uses
 
 # Summaries between two complete ones.
@@ -149,9 +150,9 @@
             region = world.configuration.region_of(summary.data_centre)
             row = PeerRow(member.seat, summary.data_centre, region)
             world.peers.add(row)
-        if member.incarnation < row.incarnation:
+        if is_outdated(row, member.incarnation):
             continue
-        if member.incarnation > row.incarnation:
+        if member.incarnation != row.incarnation:
             row.incarnation = member.incarnation
             row.sequence = 0
             row.started_s = as_of_s - member.uptime_s
--- a/tests/test_sums.py
+++ b/tests/test_sums.py
@@ -452,3 +452,25 @@
     run_tick(world, 8.0, [received])
     assert world.configuration.revision == revision
     assert world.configuration_state.confirmed_s == before_s
+
+
+# The incarnation is the time of day at the start. After a step back of the clock a
+# process that starts again has a smaller one than its predecessor.
+def test_instance_that_starts_after_its_clock_stepped_back_is_heard() -> None:
+    fleet = Fleet(3)
+    for step in range(60):
+        fleet.tick(step * STEP_S, {})
+    old = fleet.worlds["n-0"]
+    own = old.identity
+    stepped = Identity("n-0", own.data_centre, own.region, 0, "x", "y")
+    world = create_world(stepped, 3.0, old.policies, 1)
+    fleet.worlds["n-0"] = world
+    received = ConfigurationReceived(Snapshot(1, document()), [], True)
+    run_tick(world, 3.0, [received, PeersListed(fleet.listings())])
+    for step in range(60, 120):
+        fleet.tick(step * STEP_S, {})
+    for seat in ("n-1", "n-2"):
+        row = fleet.worlds[seat].peers.get("n-0")
+        assert row is not None
+        assert row.is_alive
+        assert row.incarnation == 0
