--- a/src/rhubarbspan/systems/placement.py
+++ b/src/rhubarbspan/systems/placement.py
@@ -233,7 +233,7 @@
     now_s: float,
     pool: Pool,
     row: RequestRow,
-    search: "_Search",
+    search: _Search,
     server_id: str,
     rank: int,
 ) -> None:
@@ -265,7 +265,7 @@
 
 
 def _keep_better(
-    search: "_Search", candidate: Candidate, rank: int, now_s: float
+    search: _Search, candidate: Candidate, rank: int, now_s: float
 ) -> None:
     candidate.cost_s += rank * COST_PER_RANK_S
     if not is_available(candidate.server, now_s):
