--- a/src/rhubarbspan/systems/store_readers.py
+++ b/src/rhubarbspan/systems/store_readers.py
@@ -29,7 +29,10 @@
     """Pass readings on to the instances that do not read, and apply those of others."""
     effects: Effects = []
     for read in inbox.of(StoreRead):
-        if world.store_access is not StoreAccess.FOLLOWER and is_two_level(world):
+        if world.store_access is StoreAccess.FOLLOWER or not is_two_level(world):
+            continue
+        # A stale reading without changes tells nothing.
+        if read.update.items or not read.update.is_stale:
             effects += _pass_on(world, read.update)
     for received in inbox.of(PeerMessageReceived):
         match received.message:
--- a/src/rhubarbspan/systems/summaries.py
+++ b/src/rhubarbspan/systems/summaries.py
@@ -24,6 +24,8 @@
 
 # Summaries between two complete ones.
 N_SUMMARIES_PER_COMPLETE_ONE = 5
+# Time for which the summaries that another relay passes on suffice: two of them.
+PASSED_ON_S = 2.1
 # A demand is sent again once it has changed by this fraction and this rate.
 CHANGED_FRACTION = 0.15
 CHANGED_RATE_PER_S = 0.05
@@ -126,6 +128,10 @@
     apply_uses(world, now_s, summary.handled, is_local=False)
     apply_responses(world, summary.responses, is_local=False)
     if summary.is_passed_on:
+        row.passed_on_s = now_s
+        return effects
+    if now_s - row.passed_on_s < PASSED_ON_S and local_rank(world) > 0:
+        # The first relay passes them on; this one does when the first does not.
         return effects
     passed_on = replace(summary, is_passed_on=True)
     return effects + [
--- a/src/rhubarbspan/tables/data_centres.py
+++ b/src/rhubarbspan/tables/data_centres.py
@@ -10,10 +10,12 @@
     Attributes:
         as_of_s: When the newest summary was made, or before any time if there is none.
         demands: Smoothed rate of requests, by account.
+        passed_on_s: When another instance of the own data centre passed on a summary.
     """
 
     name: str
     as_of_s: float = -1e9
+    passed_on_s: float = -1e9
     demands: dict[str, float] = field(default_factory=dict)
 
 
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -18,7 +18,12 @@
     StoreRead,
 )
 from rhubarbspan.inputs import PeerListing as Listing
-from rhubarbspan.peer_messages import ServerHandover, StoreItem, StoreUpdate
+from rhubarbspan.peer_messages import (
+    DataCentreSummary,
+    ServerHandover,
+    StoreItem,
+    StoreUpdate,
+)
 from rhubarbspan.systems.fleet_layout import is_relay, is_two_level
 from rhubarbspan.systems.limit_keepers import choose_keeper
 from rhubarbspan.tick import run_tick
@@ -404,3 +409,36 @@
         "servers/1",
         "servers/2",
     ]
+
+
+# Each instance would otherwise get each summary twice.
+def test_second_relay_passes_summaries_on_only_when_the_first_does_not() -> None:
+    fleet = Fleet(36, 40.0, DATA_CENTRES)
+    n_summaries: dict[str, int] = dict.fromkeys(fleet.worlds, 0)
+
+    def run(from_step: int, to_step: int) -> None:
+        for step in range(from_step, to_step):
+            for seat in fleet.worlds:
+                n_summaries[seat] += sum(
+                    isinstance(item.message, DataCentreSummary)
+                    for item in fleet.in_transit(seat)
+                )
+            fleet.tick(step * STEP_S, {})
+
+    run(0, 100)
+    follower = sorted(_in_data_centre(fleet, "b-1"))[-1]
+    n_summaries[follower] = 0
+    run(100, 300)
+    # One a second from each of the eight other data centres, for ten seconds.
+    assert 70 <= n_summaries[follower] <= 90
+    first = sorted(_in_data_centre(fleet, "b-1"))[0]
+    fleet.cut = {first}
+    run(300, 380)
+    n_summaries[follower] = 0
+    run(380, 480)
+    assert n_summaries[follower] >= 35
+    world = fleet.worlds[follower]
+    assert {row.seat for row in world.peers.alive()} == set(fleet.worlds) - {
+        first,
+        follower,
+    }
