--- a/src/rhubarbspan/systems/server_handover.py
+++ b/src/rhubarbspan/systems/server_handover.py
@@ -8,12 +8,25 @@
 from ..effects import Effects, LogChange, LogLevel, SendPeerMessage
 from ..inputs import Inbox, PeerMessageReceived, ServerListing
 from ..peer_messages import Heartbeat, KnownServer, ServerHandover
+from ..policies import (
+    LeastInFlight,
+    ObjectPlacement,
+    OwnedSlots,
+    RandomChoice,
+    TwoChoices,
+)
 from ..world import World
 from .health import add_server, apply_record
 
 
 def hand_over_servers(world: World, now_s: float, inbox: Inbox) -> Effects:
     """Hand servers over to peers that know none, and take over those of others."""
+    match world.policies.choice:
+        case ObjectPlacement():
+            pass
+        case OwnedSlots() | RandomChoice() | TwoChoices() | LeastInFlight():
+            # Slots are assigned by the platform's list, which all must share.
+            return []
     effects: Effects = []
     for received in inbox.of(PeerMessageReceived):
         match received.message:
