--- a/review/harness.py
+++ b/review/harness.py
@@ -429,16 +429,20 @@
     """Run a script and exit with its verdict."""
 
     async def work() -> int:
+        main = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, main.cancel)
         site = Site(Path(case).resolve().parent)
         site.note(f"disruption: {'yes' if HAS_TROUBLE else 'no'}")
+        verdict = COULD_NOT_RUN
         try:
             async with asyncio.timeout(110):
                 verdict = await script(site)
-        except Exception as error:  # noqa: BLE001
+        except (Exception, asyncio.CancelledError) as error:
             site.note(f"could not run: {type(error).__name__}: {error}")
-            verdict = COULD_NOT_RUN
         finally:
-            site.note(f"verdict: {locals().get('verdict', COULD_NOT_RUN)}")
+            site.note(f"verdict: {verdict}")
             await site.stop()
         return verdict
 
