Log what a planned stop leaves unfinished

A request that is cut by the SIGKILL at the end of the grace period had no log line, since lines are written when a request ends; a connection that the closing process cut had none either. The incident's record can therefore not tell whether the SIGKILL or the process itself ended the connections.

--- a/src/rhubarbspan/edge/caller.py
+++ b/src/rhubarbspan/edge/caller.py
@@ -132,6 +132,13 @@
         """Whether no request is in progress and none has begun to arrive."""
         return self._is_waiting and not self._pipeline.rows
 
+    def describe(self) -> str:
+        """Name the requests in progress, and tell whether another one is arriving."""
+        transfers = [row.transfer for row in self._pipeline.rows]
+        names = [row.caller_request_id for row in transfers if row is not None]
+        arriving = "none" if self._is_waiting else "one"
+        return f"requests in progress {names}, arriving: {arriving}"
+
     @property
     def channel(self) -> Channel:
         """The byte channel of the connection."""
--- a/src/rhubarbspan/edge/front.py
+++ b/src/rhubarbspan/edge/front.py
@@ -2,12 +2,15 @@
 
 import asyncio
 
+import logbook
+
 from ..effects import FinishRequest
 from .caller import LINGERING_CLOSE_S, CallerConnection
 from .channel import Channel
 from .ticker import Ticker
 from .transfer import Transfers
 
+LOG = logbook.Logger("rhubarbspan.front")
 BACKLOG = 1024
 
 
@@ -48,6 +51,10 @@
                 connection.channel.close()
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=LINGERING_CLOSE_S * 2)
+        for connection in list(self.connections):
+            # Callers whose requests had begun to arrive get no response.
+            self.ticker.world.count("connections_cut")
+            LOG.warning("connection cut at the stop: {}", connection.describe())
 
     def finish_request(self, effect: FinishRequest) -> None:
         """Hand the final decision on a request to its connection."""
--- a/src/rhubarbspan/edge/instance.py
+++ b/src/rhubarbspan/edge/instance.py
@@ -52,6 +52,9 @@
 RETRY_FRACTION = 0.6
 # An instance that leaves stops serving this long before its grace period ends.
 GRACE_PERIOD_MARGIN_S = 1.6
+# Its last response must be ready this long before the end: a late tick and the way to
+# the caller must not meet the SIGKILL.
+FINISH_MARGIN_S = 0.5
 # Fraction of the allowed slack for requests to cold servers that instances use. The
 # margin is needed because they learn late that a server is cold.
 COLD_SLACK_FRACTION = 0.5
@@ -85,6 +88,7 @@
         max_region_step=min(1.0, REGION_STEP_FRACTION * bounds.region_step),
         max_listing_gap_s=max_listing_gap_s(bounds),
         serve_leaving_s=max(0.0, bounds.grace_s - GRACE_PERIOD_MARGIN_S),
+        finish_leaving_s=max(0.0, bounds.grace_s - FINISH_MARGIN_S),
     )
 
 
--- a/src/rhubarbspan/policies.py
+++ b/src/rhubarbspan/policies.py
@@ -84,6 +84,8 @@
         max_listing_gap_s: Longest time between two lists of servers while the store can
             be reached.
         serve_leaving_s: How long an instance that stops gracefully goes on serving.
+        finish_leaving_s: How long after the stop request its requests may run. The
+            process is killed soon after.
     """
 
     limits: LimitPolicy = PooledShares()
@@ -105,3 +107,4 @@
     max_listing_gap_s: float = float("inf")
     # The lifetime of a look-up answer, plus one second until peers know of the stop.
     serve_leaving_s: float = 4.0
+    finish_leaving_s: float = float("inf")
--- a/src/rhubarbspan/report/explain.py
+++ b/src/rhubarbspan/report/explain.py
@@ -127,6 +127,8 @@
     if not end_lines:
         return "the log lines do not show how this request ended"
     end = end_lines[-1]
+    if end.event == "unfinished":
+        return "it was in progress when its instance's grace period ended"
     if end.event != "answered":
         cause = CAUSES.get(end.reason, end.reason)
         ran = "it has not run" if end.event == "refused" else "it may have run"
--- a/src/rhubarbspan/world.py
+++ b/src/rhubarbspan/world.py
@@ -70,10 +70,20 @@
 
 @dataclass(slots=True)
 class Departure:
-    """The progress of a graceful stop."""
+    """The progress of a graceful stop.
+
+    Attributes:
+        serve_until_s: Until when the instance waits for further requests.
+        finish_until_s: Until when its requests may run; the process is killed soon
+            after.
+        is_overdue: Whether requests were still in progress then.
+        is_over: Whether no request is in progress, so that the process may exit.
+    """
 
     started_s: float
     serve_until_s: float
+    finish_until_s: float
+    is_overdue: bool = False
     is_over: bool = False
 
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -94,6 +94,14 @@
     assert main(["explain", "r9", str(tmp_path / "none.log")]) == 2
 
 
+def test_request_cut_at_a_planned_stop_is_told() -> None:
+    line = '{"event":"unfinished","request":"r1","reason":"still running"}'
+    trace = collect_trace("r1", [line])
+    assert find_cause(trace) == (
+        "it was in progress when its instance's grace period ended"
+    )
+
+
 def test_reasons_of_the_platform_have_a_cause() -> None:
     platform_never_gives = {
         Reason.KEY_MISSING,
