Show that the SIGKILL cuts orders that were taken late in a planned stop

Runs of the deploy file's command under SIGTERM, SIGKILL at the end of graceS and a new start, in series that overlap, with callers that keep connections, use look-up answers for three lifetimes, and send bodies by length and in chunks.

Seen on this code, graceS 6: of 40 callers with orders of 2.4 s, each order sent 3.6 to 4.4 s after the SIGTERM was run by a server and its connection ended with the SIGKILL at 6.01 s.

--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,149 @@
+"""A soak of real processes: planned stops in series that overlap, under load.
+
+By hand: ``python tests/soak.py --seeds 50``; tests/test_planned_stops.py runs one seed.
+"""
+
+import argparse
+import asyncio
+import random
+import signal
+import sys
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from process_fleet import (
+    LOOKUP_KEEPS,
+    Caller,
+    ProcessFleet,
+    broken_promises,
+    is_ready,
+    lost_sendings,
+)
+
+
+@dataclass(slots=True)
+class SoakResult:
+    """What a soak saw."""
+
+    seed: int
+    n_sent: int = 0
+    n_answered: int = 0
+    n_stops: int = 0
+    n_killed: int = 0
+    lost: list[str] = field(default_factory=list)
+    broken: list[str] = field(default_factory=list)
+    own_ends: list[str] = field(default_factory=list)
+    cut: list[str] = field(default_factory=list)
+
+    def describe(self) -> str:
+        """Return the result as a line."""
+        return (
+            f"seed {self.seed}: {self.n_sent} requests, {self.n_answered} answered, "
+            f"{self.n_stops} stops, {self.n_killed} killed, {len(self.lost)} lost, "
+            f"{len(self.broken)} promises broken, {len(self.own_ends)} own ends, "
+            f"{len(self.cut)} cut lines"
+        )
+
+
+def make_callers(
+    fleet: ProcessFleet, rng: random.Random, n_callers: int
+) -> list[Caller]:
+    """Make callers of all kinds, each with a random source of its own."""
+    callers = []
+    for number in range(n_callers):
+        is_chunked = number % 2 == 0
+        caller = Caller(
+            fleet,
+            f"c{number}",
+            "a-1" if number % 4 < 2 else "b-1",
+            random.Random(rng.random()),
+            keeps_connections=number % 3 != 2,
+            is_chunked=is_chunked,
+            sends_body_for_s=rng.choice([0.0, 0.05, 0.4, 1.5]) if is_chunked else 0.0,
+            method="GET" if number % 5 == 4 and not is_chunked else "POST",
+            keeps_lookup=rng.choice(LOOKUP_KEEPS),
+            timeout_s=rng.choice([2.0, 3.0, 4.0]),
+        )
+        callers.append(caller)
+    return callers
+
+
+async def stop_in_series(
+    fleet: ProcessFleet, rng: random.Random, until_s: float
+) -> None:
+    """Stop and restart instances in turn; the next stop begins before the last ends."""
+    loop = asyncio.get_running_loop()
+    tasks: dict[str, asyncio.Task[object]] = {}
+    while loop.time() < until_s:
+        idle = [row for row in fleet.instances if await is_ready(row)]
+        if len(idle) > 1:
+            instance = rng.choice(idle)
+            tasks[instance.name] = asyncio.create_task(fleet.stop_and_restart(instance))
+        if rng.random() < 0.3:
+            rng.choice(fleet.instances).send_signal(signal.SIGHUP)
+        await asyncio.sleep(rng.uniform(1.5, 4.5))
+    await asyncio.gather(*tasks.values())
+
+
+async def soak(
+    seed: int, folder: Path, for_s: float, n_instances: int, n_callers: int
+) -> SoakResult:
+    """Run a fleet under load and planned stops; return what was seen."""
+    rng = random.Random(seed)
+    fleet = ProcessFleet(folder, rng)
+    result = SoakResult(seed)
+    try:
+        times_s = [0.2, 0.8, 1.6, 2.4] * 6
+        await fleet.start(n_instances, times_s)
+        until_s = asyncio.get_running_loop().time() + for_s
+        callers = make_callers(fleet, rng, n_callers)
+        tasks = [asyncio.create_task(caller.run(until_s)) for caller in callers]
+        await stop_in_series(fleet, rng, until_s - fleet.grace_s)
+        await asyncio.gather(*tasks)
+        result.n_sent = len(fleet.sendings)
+        result.n_answered = sum(row.status == 200 for row in fleet.sendings)
+        result.n_stops = len(fleet.stops)
+        result.n_killed = sum(row.killed_s < float("inf") for row in fleet.stops)
+        result.lost = lost_sendings(fleet)
+        result.broken = broken_promises(fleet)
+        result.own_ends = fleet.own_ends
+        result.cut = [str(line) for line in fleet.log_lines("connection cut")]
+        result.cut += [str(line) for line in fleet.log_lines("unfinished")]
+    finally:
+        await fleet.close()
+    return result
+
+
+def main() -> int:
+    """Run seeds one after the other; exit with 1 if any of them found a fault."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=50)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=30.0)
+    parser.add_argument("--instances", type=int, default=3)
+    parser.add_argument("--callers", type=int, default=40)
+    arguments = parser.parse_args()
+    is_faulty = False
+    for seed in range(arguments.first, arguments.first + arguments.seeds):
+        with tempfile.TemporaryDirectory() as folder:
+            result = asyncio.run(
+                soak(
+                    seed,
+                    Path(folder),
+                    arguments.seconds,
+                    arguments.instances,
+                    arguments.callers,
+                )
+            )
+        print(result.describe(), flush=True)
+        for text in result.cut:
+            print(f"  log: {text}", flush=True)
+        for text in [*result.lost, *result.broken, *result.own_ends]:
+            is_faulty = True
+            print(f"  {text}", flush=True)
+    return 1 if is_faulty else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_planned_stops.py
@@ -0,0 +1,123 @@
+"""Tests of planned stops of processes that the deploy file's command starts."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+
+from process_fleet import Caller, ProcessFleet, Sending, Stop, lost_sendings
+from soak import soak
+
+SOAK_S = 30.0
+SERVICE_S = 2.4
+
+RunFleet = Callable[[Callable[[ProcessFleet], Awaitable[None]]], None]
+
+
+@pytest.fixture
+def run_fleet(tmp_path: Path) -> RunFleet:
+    """Return a function that runs a test with a fleet and closes the fleet."""
+
+    def run(work: Callable[[ProcessFleet], Awaitable[None]]) -> None:
+        async def run_and_close() -> None:
+            fleet = ProcessFleet(tmp_path, random.Random(1))
+            try:
+                await fleet.start(2, [SERVICE_S] * 30)
+                await asyncio.sleep(1.0)
+                await work(fleet)
+            finally:
+                await fleet.close()
+
+        asyncio.run(run_and_close())
+
+    return run
+
+
+def sent_after(
+    fleet: ProcessFleet, stop: Stop, from_s: float, to_s: float
+) -> list[Sending]:
+    """List the requests that a stopped instance got in a time after its SIGTERM."""
+    return [
+        row
+        for row in fleet.sendings
+        if row.instance == stop.instance
+        and from_s < row.sent_s - stop.terminated_s < to_s
+    ]
+
+
+def test_order_late_in_the_grace_period_is_not_cut_by_the_kill(
+    run_fleet: RunFleet,
+) -> None:
+    async def work(fleet: ProcessFleet) -> None:
+        end_s = asyncio.get_running_loop().time() + 11.0
+        callers = [
+            Caller(
+                fleet,
+                f"c{number}",
+                "a-1",
+                random.Random(number),
+                keeps_connections=False,
+                is_chunked=number % 2 == 0,
+                keeps_lookup=3,
+                starts_after_s=number * 0.06,
+            )
+            for number in range(40)
+        ]
+        tasks = [asyncio.create_task(caller.run(end_s)) for caller in callers]
+        # The answers that they looked up are in use for most of the grace period.
+        await asyncio.sleep(2.5)
+        stop = await fleet.stop_and_restart(fleet.instances[0])
+        await asyncio.gather(*tasks)
+        late = sent_after(fleet, stop, 3.0, fleet.grace_s)
+        assert late, "no order was sent late in the grace period"
+        assert lost_sendings(fleet) == []
+        assert fleet.log_lines("unfinished") == []
+        refused = [row for row in late if row.status == 503]
+        assert refused
+        assert all(row.ended_s - row.sent_s < 1.0 for row in refused)
+        assert all(row.retry_after_s > 0 for row in refused)
+
+    run_fleet(work)
+
+
+def test_body_that_arrives_in_chunks_during_the_stop_gets_a_response(
+    run_fleet: RunFleet,
+) -> None:
+    async def work(fleet: ProcessFleet) -> None:
+        loop = asyncio.get_running_loop()
+        callers = [
+            Caller(
+                fleet,
+                f"c{number}",
+                "a-1",
+                random.Random(number),
+                keeps_connections=False,
+                is_chunked=True,
+                sends_body_for_s=2.0,
+                keeps_lookup=3,
+                starts_after_s=1.5 + number * 0.1,
+            )
+            for number in range(20)
+        ]
+        for caller in callers:
+            await caller.look_up()
+        tasks = [asyncio.create_task(row.run(loop.time() + 3.6)) for row in callers]
+        stop = await fleet.stop_and_restart(fleet.instances[0])
+        await asyncio.gather(*tasks)
+        rows = [row for row in fleet.sendings if row.instance == stop.instance]
+        assert len(rows) >= len(callers)
+        assert [row for row in rows if row.status not in (200, 503)] == []
+        assert fleet.log_lines("connection cut") == []
+
+    run_fleet(work)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_overlapping_stops_in_series_lose_nothing(seed: int, tmp_path: Path) -> None:
+    result = asyncio.run(soak(seed, tmp_path, SOAK_S, n_instances=3, n_callers=30))
+    assert result.n_answered > result.n_sent / 3
+    assert result.n_stops >= 3
+    assert (result.lost, result.broken, result.own_ends) == ([], [], [])
+    assert result.cut == []
