Collect what refers to a test's event loop before the loop is closed

Writers and coroutines that tests left behind were finalized later, in whichever test ran then, and raised there: "Event loop is closed". On Python 3.11.6 a finalizer that runs while the parser builds a tree makes ast.parse fail ("AST constructor recursion depth mismatch"), so that a test of test_shape.py failed on three of three runs of test_platform_process, test_platform_beliefs and test_shape with two workers. Closing the writer of one test alone did not help (two of two failed).

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,9 +7,7 @@
 import pytest
 
 from edge_site import Site, site_document
-from platform_site import (
-    PlatformSite,
-)
+from platform_site import PlatformSite, close_loop
 from rhubarbspan.document import Document, Snapshot
 from rhubarbspan.inputs import (
     ConfigurationReceived,
@@ -154,13 +152,7 @@
     running.run(asyncio.sleep(1.0))
     yield running
     running.run(deployment.stop())
-    tasks = asyncio.all_tasks(loop)
-    for task in tasks:
-        task.cancel()
-    if tasks:
-        running.run(asyncio.wait(tasks))
-    running.run(loop.shutdown_asyncgens())
-    loop.close()
+    close_loop(loop)
 
 
 @pytest.fixture(autouse=True)
@@ -197,7 +189,7 @@
     running.wait_for(lambda: _serves(running), "the instance serves")
     yield running
     loop.run_until_complete(running.stop())
-    loop.close()
+    close_loop(loop)
 
 
 def _serves(site: PlatformSite) -> bool:
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -1,6 +1,7 @@
 """Runs a small deployment on loopback in an event loop of its own."""
 
 import asyncio
+import gc
 import json
 from collections.abc import Awaitable
 from dataclasses import dataclass, field
@@ -102,3 +103,20 @@
 def encode(value: object) -> bytes:
     """Encode a value as the store keeps it."""
     return json.dumps(value).encode()
+
+
+def close_loop(loop: asyncio.AbstractEventLoop) -> None:
+    """Cancel what is left in an event loop and close it.
+
+    What refers to the loop is collected before: finalizers that run later find the loop
+    closed and raise in whichever test runs then.
+    """
+    tasks = asyncio.all_tasks(loop)
+    for task in tasks:
+        task.cancel()
+    if tasks:
+        loop.run_until_complete(asyncio.wait(tasks))
+    gc.collect()
+    loop.run_until_complete(asyncio.sleep(0))
+    loop.run_until_complete(loop.shutdown_asyncgens())
+    loop.close()
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -11,9 +11,7 @@
 
 import pytest
 
-from platform_site import (
-    PlatformSite,
-)
+from platform_site import PlatformSite, close_loop
 from rhubarbspan.standins.deployment import free_address
 from rhubarbspan.standins.platform_deployment import (
     HOST,
@@ -87,10 +85,11 @@
             reader, writer = await asyncio.open_connection(host, int(port))
         except OSError:
             return Reply(0, {}, b"")
-        writer.write(request_bytes(target, method, body))
-        reply = await read_reply(reader)
-        writer.close()
-        return reply
+        try:
+            writer.write(request_bytes(target, method, body))
+            return await read_reply(reader)
+        finally:
+            writer.close()
 
 
 @pytest.fixture
@@ -124,7 +123,7 @@
         made.running.kill()
         loop.run_until_complete(made.running.wait())
     loop.run_until_complete(site.stop())
-    loop.close()
+    close_loop(loop)
 
 
 def test_hangup_and_changed_settings_cut_nothing_and_a_bad_file_is_refused(
