Ignore SIGHUP until the server handles it, and after

A SIGHUP in the first second of a process ended it (status 129), since the handler was set when all modules were loaded; one that came while it exited did the same.

The test fails before: no handler is set when the largest module is loaded. The interpreter's own start, before the first line of the program, remains.

--- a/src/rhubarbspan/__main__.py
+++ b/src/rhubarbspan/__main__.py
@@ -1,8 +1,19 @@
 """Runs the command line."""
 
+import signal
 import sys
 
-from .cli import main
-
 if __name__ == "__main__":
-    sys.exit(main())
+    is_server = sys.argv[1:2] == ["serve"]
+    if is_server:
+        # A server reloads its settings at SIGHUP. Before its handler is set, and after
+        # it is removed, the signal would end the process.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+    # Imported here because it takes a while.
+    from .cli import main
+
+    status = main()
+    if is_server:
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    sys.exit(status)
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -1,6 +1,7 @@
 """Tests of an instance as a process: signals, changed settings, kill and restart."""
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -212,3 +213,39 @@
     async with asyncio.timeout(START_S):
         while (await process.ask("/new/x")).status != 200:
             await asyncio.sleep(0.1)
+
+
+def handles_hangup(pid: int) -> bool:
+    """Return whether a process ignores or catches SIGHUP."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    fields = dict(line.split(":\t") for line in status.splitlines() if ":\t" in line)
+    bit = 1 << (signal.SIGHUP - 1)
+    return bool((int(fields["SigIgn"], 16) | int(fields["SigCgt"], 16)) & bit)
+
+
+def test_hangup_while_a_process_starts_does_not_end_it(process: Process) -> None:
+    async def work() -> int:
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait_for_exit() == 0
+        starting = asyncio.create_task(process.start())
+        async with asyncio.timeout(START_S):
+            while process.running is None or process.running.returncode is not None:
+                await asyncio.sleep(0)
+            pid = process.running.pid
+            while not handles_hangup(pid):
+                await asyncio.sleep(0.001)
+            # The modules that take longest are not loaded yet.
+            assert "cygrpc" not in Path(f"/proc/{pid}/maps").read_text()
+            while not starting.done():
+                process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.02)
+        await starting
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGHUP)
+        while process.running.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.02)
+        return await process.wait_for_exit()
+
+    assert process.site.run(work()) == 0
