Never send a request again whose body was streamed

Callers saw: an upload of over 1 MiB in chunks that met 421 at an address that had been assigned anew was run by the next server with some 200,000 bytes missing, and was answered 200. With a length it ended with 504. A refusal (503, not run) ended with 502, which an upload may not be repeated after.

Cause: whether a body can be sent again was an attribute of one outcome, the lost connection. The edge returned `Misdirected` without looking at it and turned `Shed` into a lost connection, so that the systems could not know.

Fix: `AttemptEnded` carries `is_body_consumed`, whatever the outcome, and the systems decide: a row whose body was streamed is never queued again. After a refusal its caller is told the truth, not run (503), with a Retry-After, since it holds the body. Both front ends report it, and the platform's sends no consumed body even if asked to.

The server stand-in can answer early.

--- a/src/rhubarbspan/edge/backend.py
+++ b/src/rhubarbspan/edge/backend.py
@@ -87,8 +87,12 @@
         if exchange.attempt_id == effect.attempt_id:
             exchange.attempt.cancel()
 
-    def _report(self, effect: StartAttempt, outcome: Outcome) -> None:
-        ended = AttemptEnded(effect.request_id, effect.attempt_id, outcome)
+    def _report(
+        self, effect: StartAttempt, outcome: Outcome, is_body_consumed: bool = False
+    ) -> None:
+        ended = AttemptEnded(
+            effect.request_id, effect.attempt_id, outcome, is_body_consumed
+        )
         self._ticker.inputs.on_next(ended)
 
     async def _run(self, exchange: Exchange, effect: StartAttempt) -> None:
@@ -96,7 +100,7 @@
             outcome = await self._attempt(exchange, effect)
         except asyncio.CancelledError:
             outcome = Aborted()
-        self._report(effect, outcome)
+        self._report(effect, outcome, exchange.is_body_consumed)
 
     async def _attempt(self, exchange: Exchange, effect: StartAttempt) -> Outcome:
         try:
@@ -109,8 +113,7 @@
         except TimeoutError:
             return TimedOut(exchange.response is not None)
         except (aiohttp.ClientError, CallerDisconnectedError, OSError, ValueError):
-            cannot_resend_body = exchange.body is None and exchange.is_body_consumed
-            return ConnectionLost(exchange.response is not None, cannot_resend_body)
+            return ConnectionLost(exchange.response is not None)
 
     async def _exchange_bytes(
         self, exchange: Exchange, effect: StartAttempt
@@ -132,9 +135,8 @@
                 server_response.status == SHED_STATUS
                 and SHED_HEADER in server_response.headers
             ):
-                cannot_resend_body = exchange.body is None and exchange.is_body_consumed
                 await server_response.read()
-                return ConnectionLost(False, True) if cannot_resend_body else Shed()
+                return Shed()
             return await self._forward_response(exchange, server_response, effect)
 
     async def _body(
--- a/src/rhubarbspan/edge/upstream.py
+++ b/src/rhubarbspan/edge/upstream.py
@@ -123,6 +123,10 @@
         if transfer is None:
             self._report(effect, Aborted())
             return
+        if transfer.is_body_consumed:
+            LOG.error("{}: the body of a request is gone", effect.server_id)
+            self._report(effect, Aborted(), True)
+            return
         transfer.attempt_id = effect.attempt_id
         transfer.response = None
         transfer.attempt = asyncio.create_task(self._run(transfer, effect))
@@ -141,8 +145,12 @@
             for connection in rows:
                 connection.channel.abort()
 
-    def _report(self, effect: StartAttempt, outcome: Outcome) -> None:
-        ended = AttemptEnded(effect.request_id, effect.attempt_id, outcome)
+    def _report(
+        self, effect: StartAttempt, outcome: Outcome, is_body_consumed: bool = False
+    ) -> None:
+        ended = AttemptEnded(
+            effect.request_id, effect.attempt_id, outcome, is_body_consumed
+        )
         self._ticker.inputs.on_next(ended)
 
     async def _run(self, transfer: Transfer, effect: StartAttempt) -> None:
@@ -153,10 +161,8 @@
         except Exception:
             # Unexpected errors also need an outcome, so that the request always ends.
             LOG.exception("an attempt failed with an unexpected error")
-            outcome = ConnectionLost(
-                transfer.has_response_started, transfer.is_body_consumed
-            )
-        self._report(effect, outcome)
+            outcome = ConnectionLost(transfer.has_response_started)
+        self._report(effect, outcome, transfer.is_body_consumed)
 
     async def _attempt(self, transfer: Transfer, effect: StartAttempt) -> Outcome:
         deadline_s = self._loop.time() + effect.timeout_s
@@ -174,9 +180,7 @@
             return TimedOut(transfer.has_response_started)
         except (ConnectionError, BadResponseError, h11.ProtocolError) as error:
             LOG.debug("{}: {}", effect.server_id, error)
-            return ConnectionLost(
-                transfer.has_response_started, transfer.is_body_consumed
-            )
+            return ConnectionLost(transfer.has_response_started)
         finally:
             if is_reusable:
                 self._release(connection)
@@ -307,9 +311,6 @@
         if head.status_code == MISDIRECTED:
             return Misdirected(), is_reusable
         if is_not_run:
-            if transfer.is_body_consumed:
-                # The streamed body was consumed, so no other server can get it.
-                return ConnectionLost(False, True), is_reusable
             return Shed(), is_reusable
         if not transfer.has_response_started:
             transfer.response = ServerResponse(
--- a/src/rhubarbspan/inputs.py
+++ b/src/rhubarbspan/inputs.py
@@ -84,11 +84,9 @@
 
     Attributes:
         has_response_started: Whether part of a response was passed to the caller.
-        is_body_consumed: Whether the body was streamed and can't be sent again.
     """
 
     has_response_started: bool = False
-    is_body_consumed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,11 +108,17 @@
 
 @dataclass(slots=True)
 class AttemptEnded:
-    """An attempt to run a request on a backend server ended."""
+    """An attempt to run a request on a backend server ended.
+
+    Attributes:
+        is_body_consumed: Whether the body was streamed and can't be sent again,
+            whatever the outcome.
+    """
 
     request_id: int
     attempt_id: int
     outcome: Outcome
+    is_body_consumed: bool = False
 
 
 @dataclass(slots=True)
--- a/src/rhubarbspan/standins/platform_server.py
+++ b/src/rhubarbspan/standins/platform_server.py
@@ -31,7 +31,11 @@
     GARBAGE = "garbage"
     LOST = "lost"
     SILENT = "silent"
+    # Responses before the end of the body, which is read on.
     EARLY = "early"
+    EARLY_SHED = "early-shed"
+    EARLY_MISDIRECTED = "early-misdirected"
+    EARLY_TOO_LARGE = "early-too-large"
     # A refusal of an earlier request of the connection, once more, in place of the
     # response.
     REFUSAL_AGAIN = "refusal-again"
@@ -46,12 +50,29 @@
     ENDLESS_STRAY_BODY = "endless-stray-body"
 
 
+EARLY_FAULTS = (
+    Fault.EARLY,
+    Fault.EARLY_SHED,
+    Fault.EARLY_MISDIRECTED,
+    Fault.EARLY_TOO_LARGE,
+)
+NOT_RUN_FAULTS = (
+    Fault.SHED,
+    Fault.MISDIRECTED,
+    Fault.EARLY_SHED,
+    Fault.EARLY_MISDIRECTED,
+    Fault.EARLY_TOO_LARGE,
+)
+
+
 @dataclass(slots=True)
 class PlatformServerStandIn:
     """A server that runs requests and counts the runs.
 
     Attributes:
         faults: Faults of the next responses, in order; later ones have no fault.
+        early_after_bytes: Bytes of the body that are read before an early response.
+        read_on_after_s: Pause between an early response and the rest of the body.
         service_s: Service time of each request.
         response_bytes: Least size of a response's body.
         runs: Number of runs by request ID.
@@ -64,11 +85,13 @@
     server_id: str
     address: str = ""
     faults: list[Fault] = field(default_factory=list)
+    early_after_bytes: int = 0
+    read_on_after_s: float = 0.0
     service_s: float = 0.0
     response_bytes: int = 40
     runs: Counter[str] = field(default_factory=Counter)
     requests: list[tuple[bytes, bytes, dict[bytes, bytes], bytes]] = field(
-        default_factory=list
+        default_factory=list, repr=False
     )
     refused_ids: dict[asyncio.StreamWriter, str] = field(default_factory=dict)
     n_endless_bytes: int = 0
@@ -118,21 +141,47 @@
         headers = dict(request.headers)
         request_id = headers.get(b"x-request-id", b"").decode()
         fault = self.faults.pop(0) if self.faults else Fault.NONE
-        if fault is Fault.EARLY:
-            writer.write(self._signed_response(request_id, b"early"))
-        body = b""
+        is_early = fault in EARLY_FAULTS
+        if is_early and self.early_after_bytes == 0:
+            await self._answer_early(writer, fault, request_id)
+            is_early = False
+        body = bytearray()
         while isinstance(event := await _next_event(reader, parser), h11.Data):
             body += event.data
-        if fault in (Fault.SHED, Fault.MISDIRECTED):
-            writer.write(_declined_response(fault, request_id, self.server_id))
+            if is_early and len(body) >= self.early_after_bytes:
+                await self._answer_early(writer, fault, request_id)
+                is_early = False
+        if is_early:
+            await self._answer_early(writer, fault, request_id)
+        if fault in NOT_RUN_FAULTS:
+            if fault not in EARLY_FAULTS:
+                writer.write(_declined_response(fault, request_id, self.server_id))
             self.refused_ids[writer] = request_id
             return _complete_cycle(parser)
         self.runs[request_id] += 1
-        self.requests.append((request.method, request.target, headers, body))
+        self.requests.append((request.method, request.target, headers, bytes(body)))
         if not await self._wait_service_time(reader):
             return False
         return await self._send_response(writer, parser, fault, request_id)
 
+    async def _answer_early(
+        self, writer: asyncio.StreamWriter, fault: Fault, request_id: str
+    ) -> None:
+        match fault:
+            case Fault.EARLY_SHED:
+                response = _declined_response(Fault.SHED, request_id, self.server_id)
+            case Fault.EARLY_MISDIRECTED:
+                response = _declined_response(
+                    Fault.MISDIRECTED, request_id, self.server_id
+                )
+            case Fault.EARLY_TOO_LARGE:
+                response = self._signed_response(request_id, b"too large")
+                response = response.replace(b"200 OK", b"413 Content Too Large", 1)
+            case _:
+                response = self._signed_response(request_id, b"early")
+        writer.write(response)
+        await asyncio.sleep(self.read_on_after_s)
+
     async def _wait_service_time(self, reader: asyncio.StreamReader) -> bool:
         """Wait for the service time; return whether the connection is still open."""
         self.n_running += 1
--- a/src/rhubarbspan/systems/outcomes.py
+++ b/src/rhubarbspan/systems/outcomes.py
@@ -34,6 +34,9 @@
 MAX_SHEDS_PER_REQUEST = 20
 # Lets peers' reports of crashes arrive before a lost request is retried.
 SUSPECT_RETRY_DELAY_S = 0.1
+# After which a caller should send a request again whose body only the caller holds.
+# Another server can be chosen at once.
+RESEND_AFTER_S = 0.1
 
 
 def handle_ended_attempts(world: World, now_s: float, inbox: Inbox) -> Effects:
@@ -63,6 +66,7 @@
         return []
     if ended.attempt_id != row.n_attempts:
         return []
+    row.is_body_consumed |= ended.is_body_consumed
     was_slot_borrowed = row.slot_key is not None
     _free_slot(world, row, isinstance(ended.outcome, Shed))
     server = world.servers.get(row.server_id)
@@ -91,15 +95,13 @@
             effects += _update_failure_rate(world, now_s, server, True)
             verdict = NotRun(Reason.CONNECT_FAILED)
             return effects + _retry_or_fail(world, now_s, row, verdict)
-        case ConnectionLost(
-            has_response_started=has_started, is_body_consumed=is_consumed
-        ):
+        case ConnectionLost(has_response_started=has_started):
             effects += _update_failure_rate(world, now_s, server, True)
             if server is not None:
                 effects += record_crash(world, now_s, row, server)
             reason = Reason.TRUNCATED if has_started else Reason.CONNECTION_LOST
             lost = MayHaveRun(reason)
-            if has_started or is_consumed or row.route.kind is not RouteKind.IDEMPOTENT:
+            if has_started or row.route.kind is not RouteKind.IDEMPOTENT:
                 return effects + fail_request(world, now_s, row, lost)
             row.not_before_s = now_s + SUSPECT_RETRY_DELAY_S
             world.deadlines.arm(row.not_before_s, Timer.SERVER, row.route.pool)
@@ -152,6 +154,8 @@
     """
     row.n_shed += 1
     row.last_verdict = NotRun(Reason.SHED)
+    if row.is_body_consumed:
+        return _leave_to_caller(world, now_s, row, row.last_verdict)
     if row.n_shed > MAX_SHEDS_PER_REQUEST or now_s >= row.deadline_s:
         return fail_request(world, now_s, row, row.last_verdict)
     world.count("shed", row.route.pool)
@@ -166,6 +170,15 @@
     return []
 
 
+def _leave_to_caller(
+    world: World, now_s: float, row: RequestRow, verdict: NotRun | MayHaveRun
+) -> Effects:
+    """End a request that only its caller can send again, as its body was streamed."""
+    world.count("bodies_consumed", row.route.pool)
+    retry_after_s = RESEND_AFTER_S if isinstance(verdict, NotRun) else 0.0
+    return fail_request(world, now_s, row, verdict, retry_after_s)
+
+
 def _update_service_time(world: World, now_s: float, row: RequestRow) -> None:
     queue = world.queues.queue_of(row.route.pool)
     service_s = now_s - row.sent_s
@@ -213,6 +226,8 @@
     world: World, now_s: float, row: RequestRow, verdict: NotRun | MayHaveRun
 ) -> Effects:
     """Queue a failed request again unless quarantine, limits or budget forbid it."""
+    if row.is_body_consumed:
+        return _leave_to_caller(world, now_s, row, verdict)
     row.tried.add(row.server_id)
     queue = world.queues.queue_of(row.route.pool)
     if is_quarantined(world, now_s, row.fingerprint):
--- a/src/rhubarbspan/tables/requests.py
+++ b/src/rhubarbspan/tables/requests.py
@@ -35,6 +35,8 @@
         n_shed: How many attempts were shed by a server.
         not_before_s: Earliest time at which it may be sent.
         last_verdict: Verdict of the latest failed attempt.
+        is_body_consumed: Whether an attempt streamed the body, so that no other server
+            can get it.
         priority: Priority when capacity is short; 0 is the highest.
         regions: Regions that may serve it, or None for all regions.
         n_ahead: Expected number of requests that wait before it inside the server.
@@ -61,6 +63,7 @@
     shift: str = ""
     slot_key: tuple[str, int, int] | None = None
     last_verdict: NotRun | MayHaveRun | None = None
+    is_body_consumed: bool = False
     not_before_s: float = 0.0
     n_shed: int = 0
     priority: int = 0
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -13,6 +13,7 @@
     Completed,
     ConnectFailed,
     ConnectionLost,
+    Misdirected,
     Outcome,
     RequestArrived,
     Shed,
@@ -103,6 +104,29 @@
     assert verdicts(effects) == ([verdict] if verdict else [])
 
 
+@pytest.mark.parametrize(
+    ("outcome", "verdict"),
+    [
+        (Shed(), NotRun(Reason.SHED)),
+        (Misdirected(), NotRun(Reason.SHED)),
+        (ConnectFailed(), NotRun(Reason.CONNECT_FAILED)),
+        (ConnectionLost(), MayHaveRun(Reason.CONNECTION_LOST)),
+        (TimedOut(), MayHaveRun(Reason.DEADLINE)),
+    ],
+)
+def test_request_whose_body_was_streamed_is_never_sent_again(
+    single: Document, make_world: MakeWorld, outcome: Outcome, verdict: Verdict
+) -> None:
+    world = make_world(single, n_servers=2)
+    run_tick(world, NOW_S, [RequestArrived(1, "/look", KEY, is_replayable=False)])
+    ended = AttemptEnded(1, 1, outcome, is_body_consumed=True)
+    effects = run_tick(world, NOW_S + 0.1, [ended])
+    (finished,) = [e for e in effects if isinstance(e, FinishRequest)]
+    assert finished.verdict == verdict
+    assert (finished.retry_after_s > 0) == isinstance(verdict, NotRun)
+    assert not attempts(effects + run_tick(world, NOW_S + 0.25, []))
+
+
 @pytest.mark.parametrize(
     ("result", "verdict"),
     [
--- /dev/null
+++ b/tests/test_uploads.py
@@ -0,0 +1,154 @@
+"""Uploads that are streamed to servers, which may answer before the end of the body."""
+
+import asyncio
+import itertools
+import random
+from dataclasses import dataclass
+
+import pytest
+
+from platform_site import PlatformSite
+from rhubarbspan.standins.platform_deployment import Reply, read_reply, request_bytes
+from rhubarbspan.standins.platform_server import Fault
+
+PIECE_BYTES = 30_000
+NUMBERS = itertools.count()
+CONTENT = random.Random(1).randbytes(3_500_000)
+
+
+@dataclass(slots=True)
+class Upload:
+    """An upload as a caller sends it.
+
+    Attributes:
+        cuts: Offsets at which the body is cut into pieces.
+        pause_s: Pause between two pieces.
+        does_stop: Whether the caller closes its connection once it has a response.
+    """
+
+    n_bytes: int
+    is_chunked: bool = True
+    cuts: tuple[int, ...] = ()
+    pause_s: float = 0.0
+    does_stop: bool = False
+
+    @property
+    def body(self) -> bytes:
+        """The whole body."""
+        return CONTENT[: self.n_bytes]
+
+    def pieces(self) -> list[bytes]:
+        """Return the pieces of the body as they are written."""
+        ends = sorted({cut for cut in self.cuts if 0 < cut < self.n_bytes})
+        edges = itertools.pairwise([0, *ends, self.n_bytes])
+        return [CONTENT[start:end] for start, end in edges]
+
+
+@pytest.fixture
+def site(deployed: PlatformSite) -> PlatformSite:
+    """Return a running deployment with one instance and two servers."""
+    return deployed
+
+
+def paced(
+    n_bytes: int,
+    is_chunked: bool = True,
+    pause_s: float = 0.002,
+    does_stop: bool = False,
+) -> Upload:
+    """Return an upload in equal pieces, as of a caller that reads it from a file."""
+    cuts = tuple(range(PIECE_BYTES, n_bytes, PIECE_BYTES))
+    return Upload(n_bytes, is_chunked, cuts, pause_s, does_stop)
+
+
+async def send_upload(
+    site: PlatformSite, upload: Upload, target: str, **headers: str
+) -> tuple[Reply, Reply | None]:
+    """Send an upload, and a look-up behind it on the same connection.
+
+    Returns:
+        The replies to both, the second None if the caller stopped or the connection
+        was closed.
+    """
+    reader, writer = await site.connect()
+    framing = {"Content_Length": str(upload.n_bytes)}
+    if upload.is_chunked:
+        framing = {"Content_Length": "", "Transfer_Encoding": "chunked"}
+    writer.write(request_bytes(target, "POST", b"", **framing, **headers))
+    answering = asyncio.create_task(read_reply(reader))
+    try:
+        for piece in upload.pieces():
+            if upload.does_stop and answering.done():
+                return await answering, None
+            prefix = b"%x\r\n" % len(piece) if upload.is_chunked else b""
+            writer.write(prefix + piece + (b"\r\n" if upload.is_chunked else b""))
+            await writer.drain()
+            await asyncio.sleep(upload.pause_s)
+        writer.write(b"0\r\n\r\n" if upload.is_chunked else b"")
+        reply = await answering
+        if reply.headers.get("connection") == "close":
+            return reply, None
+        writer.write(request_bytes(f"/look{target}"))
+        return reply, await read_reply(reader)
+    finally:
+        answering.cancel()
+        writer.transport.abort()
+
+
+def bodies_run(site: PlatformSite, target: str) -> list[bytes]:
+    """List the bodies with which servers ran an upload."""
+    requests = [request for server in site.servers for request in server.requests]
+    return [body for _, seen, _, body in requests if seen == target.encode()]
+
+
+def set_faults(site: PlatformSite, *faults: Fault, after_bytes: int) -> None:
+    """Set the next fault of each server, and let the instance forget earlier ones."""
+    world = site.instances[0].world
+    world.queues.queue_of("shop").retry_budget = 5.0
+    for server, fault in zip(site.servers, faults, strict=True):
+        server.faults = [fault]
+        server.early_after_bytes = after_bytes
+        row = world.servers.get(server.server_id)
+        assert row is not None
+        row.misdirected_incarnation = -1
+        row.shed_until_s = row.ejected_until_s = -1e9
+        row.failure_rate = 0.0
+
+
+def check_upload(
+    site: PlatformSite, upload: Upload, *faults: Fault, after_bytes: int
+) -> Reply:
+    """Send an upload to servers with faults, and check what ran and what was said."""
+    target = f"/put/{next(NUMBERS)}"
+    set_faults(site, *faults, after_bytes=after_bytes)
+    reply, behind = site.run(send_upload(site, upload, target))
+    if reply.status == 200:
+        site.wait_for(lambda: bodies_run(site, target), "the upload has run")
+        assert bodies_run(site, target) == [upload.body]
+    else:
+        assert reply.status in (413, 503)
+        assert bodies_run(site, target) == []
+    assert reply.headers["x-request-id"] == f"id-{target}"
+    set_faults(site, Fault.NONE, Fault.NONE, after_bytes=0)
+    if not upload.does_stop:
+        assert behind is not None
+        assert behind.headers["x-request-id"] == f"id-/look{target}"
+    assert site.send(f"/look/after{target}").status == 200
+    return reply
+
+
+@pytest.mark.parametrize("fault", [Fault.EARLY_MISDIRECTED, Fault.EARLY_SHED])
+@pytest.mark.parametrize("is_chunked", [True, False])
+def test_upload_that_is_refused_early_never_runs_with_bytes_missing(
+    site: PlatformSite, fault: Fault, is_chunked: bool
+) -> None:
+    upload = paced(3_000_000, is_chunked=is_chunked)
+    faults = [fault, Fault.NONE]
+    # Until the server with the fault is the first one that gets the upload.
+    for _ in range(10):
+        reply = check_upload(site, upload, *faults, after_bytes=1_200_000)
+        if reply.status != 200:
+            break
+        faults.reverse()
+    assert reply.status == 503
+    assert 0 < float(reply.headers["retry-after"]) < 0.5
