Send the rest of a streamed body after an early success

Callers saw: a server that answered 200 before the end of an upload over 1 MiB got no more of its body. The connection was closed, the server ran nothing, and the caller had its 200. A caller that left within such a body kept its server waiting until the deadline, and the time-out counted as the server's failure.

Cause: the task that sends the body was cancelled as soon as the response was there, and its own end was never looked at.

Fix: `_stream` waits for both tasks. After an early success it goes on sending until the server has all bytes (a complete response is passed on 0.1 s before the deadline at the latest); after any other early response it stops, and the connection is closed. If the caller leaves within the body the attempt ends at once as aborted. Whether a connection is reused is now decided after the body's end, in one place.

--- a/src/rhubarbspan/edge/upstream.py
+++ b/src/rhubarbspan/edge/upstream.py
@@ -1,7 +1,9 @@
 """Sends attempts to backend servers over pooled connections and reads the responses."""
 
 import asyncio
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
+from enum import Enum
 
 import h11
 import logbook
@@ -51,11 +53,21 @@
 # A connection is no longer reused after this many refusals, each of which the server
 # might send once more.
 N_MAX_REFUSALS_PER_CONNECTION = 16
-READ_BYTES = 65_536
+# A response that is complete is passed on this long before the deadline at the latest,
+# even if the server has not yet taken the whole body.
+EARLY_RESPONSE_MARGIN_S = 0.1
 SUCCESS_STATUSES = range(200, 300)
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
+class BodyEnd(Enum):
+    """How the streaming of a body to a server ended."""
+
+    SENT = "sent"
+    CALLER_LEFT = "caller-left"
+    SERVER_LEFT = "server-left"
+
+
 class BadResponseError(Exception):
     """The bytes aren't a complete, valid response to this request."""
 
@@ -265,20 +277,54 @@
         exchange = _create_exchange(transfer, effect, deadline_s - self._loop.time())
         parser = exchange.parser
         channel.write(parser.send(exchange.request) or b"")
-        sending: asyncio.Task[None] | None = None
         if transfer.is_body_complete:
             if transfer.body:
                 channel.write(parser.send(h11.Data(transfer.body)) or b"")
             channel.write(parser.send(h11.EndOfMessage()) or b"")
+            outcome = await self._receive(transfer, effect, connection, exchange)
         else:
             transfer.is_body_consumed = True
-            sending = asyncio.create_task(_send_body(transfer, channel, parser))
+            receiving = self._receive(transfer, effect, connection, exchange)
+            sending = _send_body(transfer, channel, parser)
+            outcome = await self._stream(receiving, sending, deadline_s)
+        is_reusable = (
+            _is_reusable(exchange)
+            and not channel.has_unread
+            and bool(transfer.caller_request_id)
+            and len(connection.refused_ids) < N_MAX_REFUSALS_PER_CONNECTION
+        )
+        return outcome, is_reusable
+
+    async def _stream(
+        self,
+        receive: Coroutine[None, None, Outcome],
+        send: Coroutine[None, None, BodyEnd],
+        deadline_s: float,
+    ) -> Outcome:
+        """Send a body as it arrives from the caller, and receive the response.
+
+        A success may come before the end of the body. The caller gets it once the
+        server has the whole body, as a caller with a response may stop sending. After
+        any other early response the rest of the body is not sent.
+        """
+        receiving = asyncio.create_task(receive)
+        sending = asyncio.create_task(send)
         try:
-            return await self._receive(transfer, effect, connection, exchange)
+            await asyncio.wait(
+                (receiving, sending), return_when=asyncio.FIRST_COMPLETED
+            )
+            if not receiving.done() and sending.result() is BodyEnd.CALLER_LEFT:
+                return Aborted()
+            outcome = await receiving
+            match outcome:
+                case Completed(status=status) if status in SUCCESS_STATUSES:
+                    left_s = deadline_s - self._loop.time() - EARLY_RESPONSE_MARGIN_S
+                    await asyncio.wait((sending,), timeout=max(0.0, left_s))
+            return outcome
         finally:
-            if sending is not None:
-                sending.cancel()
-                await asyncio.gather(sending, return_exceptions=True)
+            for task in (receiving, sending):
+                task.cancel()
+            await asyncio.gather(receiving, sending, return_exceptions=True)
 
     async def _receive(
         self,
@@ -286,7 +332,7 @@
         effect: StartAttempt,
         connection: Connection,
         exchange: Exchange,
-    ) -> tuple[Outcome, bool]:
+    ) -> Outcome:
         head, fields = await _read_head(transfer, connection.channel, exchange)
         if fields.load is not None:
             self._ticker.inputs.on_next(
@@ -299,24 +345,17 @@
         if not is_not_run:
             _check_response(head, fields)
         body = await self._read_body(transfer, connection.channel, exchange, head)
-        is_reusable = (
-            _is_reusable(exchange)
-            and not connection.channel.has_unread
-            and bool(transfer.caller_request_id)
-        )
         if is_not_run:
             connection.refused_ids.add(transfer.caller_request_id)
-            n_refusals = len(connection.refused_ids)
-            is_reusable = is_reusable and n_refusals < N_MAX_REFUSALS_PER_CONNECTION
         if head.status_code == MISDIRECTED:
-            return Misdirected(), is_reusable
+            return Misdirected()
         if is_not_run:
-            return Shed(), is_reusable
+            return Shed()
         if not transfer.has_response_started:
             transfer.response = ServerResponse(
                 head.status_code, list(head.headers), body
             )
-        return Completed(head.status_code), is_reusable
+        return Completed(head.status_code)
 
     async def _read_body(
         self,
@@ -368,17 +407,23 @@
 
 async def _send_body(
     transfer: Transfer, channel: Channel, parser: h11.Connection
-) -> None:
+) -> BodyEnd:
     """Stream the body from the caller to the server."""
     chunk = transfer.body
-    while True:
-        if chunk:
-            channel.write(parser.send(h11.Data(chunk)) or b"")
+    while chunk:
+        channel.write(parser.send(h11.Data(chunk)) or b"")
+        try:
             await channel.drain()
-        chunk = await transfer.read_more()
-        if not chunk:
-            break
+        except ConnectionError as error:
+            LOG.debug("a server closed its connection within a body: {}", error)
+            return BodyEnd.SERVER_LEFT
+        try:
+            chunk = await transfer.read_more()
+        except (ConnectionError, h11.RemoteProtocolError) as error:
+            LOG.debug("a caller closed its connection within a body: {}", error)
+            return BodyEnd.CALLER_LEFT
     channel.write(parser.send(h11.EndOfMessage()) or b"")
+    return BodyEnd.SENT
 
 
 async def _next_event(channel: Channel, parser: h11.Connection) -> object:
--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -2,15 +2,21 @@
 
 import asyncio
 import itertools
+import os
 import random
 from dataclasses import dataclass
 
 import pytest
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
 
 from platform_site import PlatformSite
+from rhubarbspan.edge.caller import MAX_BUFFERED_BODY_BYTES
 from rhubarbspan.standins.platform_deployment import Reply, read_reply, request_bytes
-from rhubarbspan.standins.platform_server import Fault
+from rhubarbspan.standins.platform_server import EARLY_FAULTS, Fault
+from rhubarbspan.tables.requests import RequestState
 
+N_EXAMPLES = int(os.environ.get("FUZZ_EXAMPLES", "100"))
 PIECE_BYTES = 30_000
 NUMBERS = itertools.count()
 CONTENT = random.Random(1).randbytes(3_500_000)
@@ -152,3 +158,78 @@
         faults.reverse()
     assert reply.status == 503
     assert 0 < float(reply.headers["retry-after"]) < 0.5
+
+
+def test_server_gets_the_rest_of_a_body_after_an_early_success(
+    site: PlatformSite,
+) -> None:
+    for server in site.servers:
+        server.read_on_after_s = 0.3
+    upload = paced(3_000_000, does_stop=True)
+    reply = check_upload(site, upload, Fault.EARLY, Fault.EARLY, after_bytes=0)
+    assert (reply.status, reply.body) == (200, b"early")
+
+
+def test_caller_that_leaves_within_a_body_ends_the_attempt_at_once(
+    site: PlatformSite,
+) -> None:
+    async def work() -> None:
+        _, writer = await site.connect()
+        head = request_bytes("/put/x", "POST", b"", Content_Length="3000000")
+        writer.write(head + CONTENT[:2_000_000])
+        await writer.drain()
+        while not site.instances[0].world.requests.in_state(RequestState.RUNNING):
+            await asyncio.sleep(0.01)
+        writer.close()
+
+    site.run(work())
+    start_s = site.loop.time()
+    site.wait_for(lambda: not len(site.instances[0].world.requests), "it has ended")
+    assert site.loop.time() - start_s < 0.5
+    assert bodies_run(site, "/put/x") == []
+    # The server is not to blame.
+    assert all(r.failure_rate == 0.0 for r in site.instances[0].world.servers.rows())
+
+
+LENGTHS = st.one_of(
+    st.integers(MAX_BUFFERED_BODY_BYTES - 3, MAX_BUFFERED_BODY_BYTES + 3),
+    st.integers(500_000, 3_500_000),
+)
+UPLOADS = st.builds(
+    Upload,
+    LENGTHS,
+    st.booleans(),
+    st.lists(st.integers(1, 3_500_000), max_size=12).map(tuple),
+    st.sampled_from([0.0, 0.001, 0.01]),
+    st.booleans(),
+)
+FAULTS = st.sampled_from([Fault.NONE, Fault.SHED, Fault.MISDIRECTED, *EARLY_FAULTS])
+
+
+@settings(
+    max_examples=N_EXAMPLES,
+    deadline=None,
+    derandomize="FUZZ_EXAMPLES" not in os.environ,
+    database=None,
+    phases=[Phase.generate],
+    suppress_health_check=list(HealthCheck),
+)
+@given(
+    upload=UPLOADS,
+    faults=st.tuples(FAULTS, FAULTS),
+    after_bytes=st.integers(0, 3_600_000),
+    read_on_after_s=st.sampled_from([0.0, 0.05, 0.2]),
+)
+def test_a_server_runs_all_bytes_of_an_upload_or_none_and_the_caller_is_told(
+    site: PlatformSite,
+    upload: Upload,
+    faults: tuple[Fault, Fault],
+    after_bytes: int,
+    read_on_after_s: float,
+) -> None:
+    for server in site.servers:
+        server.read_on_after_s = read_on_after_s
+    check_upload(site, upload, *faults, after_bytes=after_bytes)
+    requests = [request for server in site.servers for request in server.requests]
+    targets = [target for method, target, _, _ in requests if method == b"POST"]
+    assert len(targets) == len(set(targets))
