Read the rest of a body before a connection that closes is closed

Callers saw: a caller that asked to close the connection (or used an instance that stops) and got an early answer within its upload had the connection reset 0.5 s later, while it was still sending, and could lose the answer.

Cause: after a response that closes the connection, reading goes on for 0.5 s only. That is meant for bytes behind the request, and the request's own body was not read to its end before.

Fix: `_finish_request` reads the body to its end first, as it does on connections that stay open, with the idle time-out as its bound between two reads.

--- a/src/rhubarbspan/edge/caller.py
+++ b/src/rhubarbspan/edge/caller.py
@@ -465,12 +465,12 @@
     async def _finish_request(self, exchange: CallerExchange) -> bool:
         """Read the rest of the request; return whether the connection stays open."""
         parser = exchange.parser
-        if parser.our_state is h11.MUST_CLOSE:
-            await self._close_lingering()
-            return False
         while parser.their_state is h11.SEND_BODY:
             async with asyncio.timeout(self._limits().idle_timeout_s):
                 await self._next_event(exchange)
+        if parser.our_state is h11.MUST_CLOSE:
+            await self._close_lingering()
+            return False
         return parser.our_state is h11.DONE and parser.their_state is h11.DONE
 
     async def _reject(self, exchange: CallerExchange, status: int) -> None:
--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -160,6 +160,21 @@
     assert 0 < float(reply.headers["retry-after"]) < 0.5
 
 
+def test_caller_gets_an_early_refusal_before_its_connection_closes(
+    site: PlatformSite,
+) -> None:
+    # Longer than the instance reads on a connection that it is closing.
+    upload = paced(3_000_000, pause_s=0.015)
+    set_faults(site, Fault.EARLY_SHED, Fault.EARLY_SHED, after_bytes=0)
+
+    async def work() -> Reply:
+        reply, _ = await send_upload(site, upload, "/put/x", Connection="close")
+        return reply
+
+    assert site.run(work()).status == 503
+    assert bodies_run(site, "/put/x") == []
+
+
 def test_server_gets_the_rest_of_a_body_after_an_early_success(
     site: PlatformSite,
 ) -> None:
