Know a streamed upload again by the first part of its body

Callers saw: an upload of over 1 MiB that crashes the servers that run it was never kept from them. Each resend crashed another server, and other uploads that these servers were running were lost with it.

Cause: the digest by which a resend is known covered the part of the body that had been read by then. It ends wherever a piece beyond 1 MiB ends, another byte each time.

Fix: of a streamed body the digest covers the first 1 MiB (DIGEST_PREFIX_BYTES, all that is always buffered) and the length if it is given, besides method and target, and the account and path that the fingerprint adds. The object of the affinity cookie is not part of it, as the target names it where it matters.

The cost of wrong hits: two uploads of one account to one target with the same first 1 MiB and the same length (or both in chunks) count as one request. If one of them crashes two servers, the other is refused with 503 for ten minutes too, and until one of them has run they are sent one at a time by an instance. A resend that changes from a length to chunks counts as another request, which crashes two servers more at most.

--- a/src/rhubarbspan/edge/caller.py
+++ b/src/rhubarbspan/edge/caller.py
@@ -35,6 +35,9 @@
 LOG = logbook.Logger("rhubarbspan.front")
 # Request bodies up to this size are buffered, so that a retry can send them again.
 MAX_BUFFERED_BODY_BYTES = 1_048_576
+# The part of a streamed body by which its resends are known. Other bodies with the same
+# first part count as the same request, so it is as long as what is always buffered.
+DIGEST_PREFIX_BYTES = MAX_BUFFERED_BODY_BYTES
 # Requests of a connection that are in progress at a time, and the bytes of their
 # bodies. While there are more, nothing further is read from the connection.
 N_MAX_PIPELINED = 8
@@ -502,13 +505,12 @@
     n_body_bytes = len(transfer.body)
     if not transfer.is_body_complete:
         n_body_bytes = max(n_body_bytes, _content_length(transfer.headers))
-    head = transfer.method + b" " + transfer.target + b"\n"
     return RequestArrived(
         transfer.request_id,
         _path_of(transfer.target),
         fields.key_hash,
         "",
-        xxhash.xxh64_hexdigest(head + transfer.body),
+        _digest_request(transfer),
         transfer.is_body_complete,
         n_body_bytes,
         fields.timeout_s,
@@ -518,6 +520,20 @@
     )
 
 
+def _digest_request(transfer: Transfer) -> str:
+    """Return a hash of method, target and body that a request shares with its resends.
+
+    How much of a streamed body has been read by now differs from one sending to the
+    next, so that its first part counts, of a fixed length, and its length if given.
+    """
+    head = transfer.method + b" " + transfer.target + b"\n"
+    if transfer.is_body_complete:
+        return xxhash.xxh64_hexdigest(head + transfer.body)
+    length = b"%d\n" % _content_length(transfer.headers)
+    prefix = transfer.body[:DIGEST_PREFIX_BYTES]
+    return xxhash.xxh64_hexdigest(head + length + prefix)
+
+
 def _path_of(target: bytes) -> str:
     return target.partition(b"?")[0].decode("latin-1")
 
--- a/src/rhubarbspan/inputs.py
+++ b/src/rhubarbspan/inputs.py
@@ -19,8 +19,8 @@
         path: Path of the request target, without the query.
         key_hash: SHA-256 hash of the caller's key, or an empty string.
         idempotency_key: The caller's idempotency key, or an empty string.
-        body_digest: Hash of method, target and body if the body is held in memory,
-            otherwise an empty string.
+        body_digest: Hash of method, target and body by which resends are known, or an
+            empty string. Of a body that is streamed it covers the first part.
         is_replayable: Whether the edge can send the body again on a retry.
         n_body_bytes: Length of the body, or -1 if it is unknown.
         timeout_s: Timeout that the caller set, or 0 if it set none.
--- a/src/rhubarbspan/standins/platform_server.py
+++ b/src/rhubarbspan/standins/platform_server.py
@@ -72,6 +72,8 @@
     Attributes:
         faults: Faults of the next responses, in order; later ones have no fault.
         early_after_bytes: Bytes of the body that are read before an early response.
+        crash_prefix: The server crashes when it runs a body that starts so: it resets
+            all connections. Empty if no body crashes it.
         read_on_after_s: Pause between an early response and the rest of the body.
         service_s: Service time of each request.
         response_bytes: Least size of a response's body.
@@ -86,6 +88,7 @@
     address: str = ""
     faults: list[Fault] = field(default_factory=list)
     early_after_bytes: int = 0
+    crash_prefix: bytes = b""
     read_on_after_s: float = 0.0
     service_s: float = 0.0
     response_bytes: int = 40
@@ -96,10 +99,12 @@
     refused_ids: dict[asyncio.StreamWriter, str] = field(default_factory=dict)
     n_endless_bytes: int = 0
     n_connections: int = 0
+    n_crashes: int = 0
     n_cancelled: int = 0
     n_running: int = 0
     server: asyncio.Server | None = None
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    writers: set[asyncio.StreamWriter] = field(default_factory=set, repr=False)
 
     async def start(self) -> None:
         """Start to listen on loopback."""
@@ -123,10 +128,12 @@
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
         self.n_connections += 1
+        self.writers.add(writer)
         parser = h11.Connection(h11.SERVER)
         with contextlib.suppress(ConnectionError, h11.ProtocolError):
             while await self._handle_request(reader, writer, parser):
                 parser.start_next_cycle()
+        self.writers.discard(writer)
         writer.close()
 
     async def _handle_request(
@@ -160,6 +167,11 @@
             return _complete_cycle(parser)
         self.runs[request_id] += 1
         self.requests.append((request.method, request.target, headers, bytes(body)))
+        if self.crash_prefix and body.startswith(self.crash_prefix):
+            self.n_crashes += 1
+            for open_writer in self.writers:
+                _reset(open_writer)
+            return False
         if not await self._wait_service_time(reader):
             return False
         return await self._send_response(writer, parser, fault, request_id)
--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -4,7 +4,7 @@
 import itertools
 import os
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import pytest
 from hypothesis import HealthCheck, Phase, given, settings
@@ -18,6 +18,7 @@
 
 N_EXAMPLES = int(os.environ.get("FUZZ_EXAMPLES", "100"))
 PIECE_BYTES = 30_000
+MAX_CRASHES = 3
 NUMBERS = itertools.count()
 CONTENT = random.Random(1).randbytes(3_500_000)
 
@@ -30,6 +31,7 @@
         cuts: Offsets at which the body is cut into pieces.
         pause_s: Pause between two pieces.
         does_stop: Whether the caller closes its connection once it has a response.
+        content: What the body is the first part of.
     """
 
     n_bytes: int
@@ -37,17 +39,18 @@
     cuts: tuple[int, ...] = ()
     pause_s: float = 0.0
     does_stop: bool = False
+    content: bytes = field(default=CONTENT, repr=False)
 
     @property
     def body(self) -> bytes:
         """The whole body."""
-        return CONTENT[: self.n_bytes]
+        return self.content[: self.n_bytes]
 
     def pieces(self) -> list[bytes]:
         """Return the pieces of the body as they are written."""
         ends = sorted({cut for cut in self.cuts if 0 < cut < self.n_bytes})
         edges = itertools.pairwise([0, *ends, self.n_bytes])
-        return [CONTENT[start:end] for start, end in edges]
+        return [self.content[start:end] for start, end in edges]
 
 
 @pytest.fixture
@@ -68,15 +71,15 @@
 
 
 async def send_upload(
-    site: PlatformSite, upload: Upload, target: str, **headers: str
+    site: PlatformSite, upload: Upload, target: str, number: int = 0, **headers: str
 ) -> tuple[Reply, Reply | None]:
-    """Send an upload, and a look-up behind it on the same connection.
+    """Send an upload to an instance, and a look-up behind it on the same connection.
 
     Returns:
         The replies to both, the second None if the caller stopped or the connection
         was closed.
     """
-    reader, writer = await site.connect()
+    reader, writer = await site.connect(number)
     framing = {"Content_Length": str(upload.n_bytes)}
     if upload.is_chunked:
         framing = {"Content_Length": "", "Transfer_Encoding": "chunked"}
@@ -206,6 +209,45 @@
     assert all(r.failure_rate == 0.0 for r in site.instances[0].world.servers.rows())
 
 
+@pytest.mark.parametrize("is_chunked", [True, False])
+def test_upload_that_crashes_servers_is_kept_from_them_however_it_is_split(
+    site: PlatformSite, is_chunked: bool
+) -> None:
+    async def add_instance_and_servers() -> None:
+        await site.add_instance("front-a-2")
+        for _ in range(4):
+            await site.deployment.add_server()
+
+    site.run(add_instance_and_servers())
+    site.wait_for(site.deployment.is_ready, "all is known to both instances")
+    rng = random.Random(5)
+    n_bytes = 2_000_000
+    start = rng.randrange(1_000_000)
+    crashing = CONTENT[start : start + n_bytes]
+    for server in site.servers:
+        server.crash_prefix = crashing[:100]
+
+    def send(name: str, body: bytes, number: int) -> int:
+        cuts = [0]
+        while cuts[-1] < n_bytes:
+            cuts.append(cuts[-1] + rng.randrange(20_000, 60_000))
+        upload = Upload(n_bytes, is_chunked, tuple(cuts), 0.001, True, body)
+        head = {"X_Request_Id": name}
+        reply, _ = site.run(send_upload(site, upload, "/put/x", number, **head))
+        return reply.status
+
+    statuses = []
+    for number in range(10):
+        send(f"crashing-{number}", crashing, number % 2)
+        # Longer than a heartbeat, by which the instances tell each other.
+        site.run(asyncio.sleep(0.3))
+        other = CONTENT[number + 1 : number + 1 + n_bytes]
+        statuses.append(send(f"other-{number}", other, number % 2))
+    n_crashes = sum(server.n_crashes for server in site.servers)
+    assert 1 <= n_crashes <= MAX_CRASHES
+    assert statuses == [200] * 10
+
+
 LENGTHS = st.one_of(
     st.integers(MAX_BUFFERED_BODY_BYTES - 3, MAX_BUFFERED_BODY_BYTES + 3),
     st.integers(500_000, 3_500_000),
