Don't count a lost answer as a crash of a server that goes on answering

Callers saw: two lost answers to the same look-up on two servers kept it from all servers for ten minutes, though it had run well before and no server had crashed.

Cause: each lost connection counted as a crash, for good, and nothing that was seen afterwards could take it back but a success of the request itself, which a quarantined request does not get. A success told by a peer did not end it either.

Fix: an answer to a request that the server held already when the connection broke, and that comes 0.1 s after it or later, shows that its process has not ended: the crash is cleared for the requests that were lost then, here and through heartbeats at the peers, where it now ends a quarantine as well. A restart can't pass for it, since it loses all requests that the server held. A request that has run without a crash needs three crashes instead of two.

The length of a quarantine is as before.

--- a/src/rhubarbspan/systems/outcomes.py
+++ b/src/rhubarbspan/systems/outcomes.py
@@ -20,7 +20,13 @@
 from ..verdict import MayHaveRun, NotRun, Reason
 from ..world import World
 from .completion import SERVER_ERROR_STATUS, complete_request, fail_request
-from .quarantine import clear_suspect, is_quarantined, record_crash, record_end
+from .quarantine import (
+    clear_suspect,
+    is_quarantined,
+    record_crash,
+    record_end,
+    refute_crashes,
+)
 from .queueing import rejoin_queue
 from .serving import record_service
 from .slots import record_shed
@@ -76,6 +82,8 @@
             _update_service_time(world, now_s, row)
             record_service(world, now_s, row, server, status < SERVER_ERROR_STATUS)
             clear_suspect(world, row)
+            if server is not None:
+                refute_crashes(world, now_s, row, server)
             effects += _update_failure_rate(
                 world, now_s, server, status >= SERVER_ERROR_STATUS
             )
--- a/src/rhubarbspan/systems/quarantine.py
+++ b/src/rhubarbspan/systems/quarantine.py
@@ -9,6 +9,10 @@
 from ..world import World
 
 N_CRASHES_TO_QUARANTINE = 2
+# For a request that has run without crashing its server.
+N_CRASHES_TO_QUARANTINE_SAFE = 3
+# An answer that comes this long after a connection broke was not on its way then.
+SURVIVAL_MARGIN_S = 0.1
 QUARANTINE_S = 600.0
 SUSPECT_RETENTION_S = 600.0
 
@@ -36,9 +40,9 @@
     """
     if not row.fingerprint:
         return []
-    crash = f"{server.server_id}/{server.generation}"
-    in_flight = world.suspects.in_flight_at_crash.setdefault(crash, set())
-    in_flight.add(row.fingerprint)
+    crash = _crash_of(server)
+    in_flight = world.suspects.in_flight_at_crash.setdefault(crash, {})
+    in_flight[row.fingerprint] = now_s
     suspect = world.suspects.get_or_create(row.fingerprint)
     suspect.last_crash_s = now_s
     for fingerprint in in_flight:
@@ -47,6 +51,31 @@
     return _quarantine_if_due(world, now_s, suspect)
 
 
+def refute_crashes(
+    world: World, now_s: float, row: RequestRow, server: ServerRow
+) -> None:
+    """Clear requests of a crash that did not happen, as an answer of the server shows.
+
+    The server held the answered request already when their connections broke, so that
+    its process has not ended since.
+    """
+    crash = _crash_of(server)
+    in_flight = world.suspects.in_flight_at_crash.get(crash, {})
+    refuted = [
+        fingerprint
+        for fingerprint, lost_s in in_flight.items()
+        if row.sent_s < lost_s <= now_s - SURVIVAL_MARGIN_S
+    ]
+    for fingerprint in refuted:
+        del in_flight[fingerprint]
+        suspect = world.suspects.get_or_create(fingerprint)
+        suspect.cleared[crash] = None
+        _end_quarantine_if_due(world, suspect)
+    if refuted:
+        world.count("crashes_refuted")
+        world.deadlines.arm(now_s, Timer.HEARTBEAT, "extra")
+
+
 def clear_suspect(world: World, row: RequestRow) -> None:
     """Clear a request of all crashes so far, as it ran without crashing its server."""
     if not row.fingerprint:
@@ -100,19 +129,35 @@
         del world.suspects.running[row.fingerprint]
 
 
+def _crash_of(server: ServerRow) -> str:
+    return f"{server.server_id}/{server.generation}"
+
+
 def _uncleared_crashes(row: SuspectRow) -> list[str]:
     return [crash for crash in row.crashes if crash not in row.cleared]
 
 
+def _has_crashed_enough(world: World, row: SuspectRow) -> bool:
+    n_crashes = len(_uncleared_crashes(row))
+    if world.suspects.is_known_safe(row.fingerprint):
+        return n_crashes >= N_CRASHES_TO_QUARANTINE_SAFE
+    return n_crashes >= N_CRASHES_TO_QUARANTINE
+
+
+def _end_quarantine_if_due(world: World, row: SuspectRow) -> None:
+    if not _has_crashed_enough(world, row):
+        row.quarantined_until_s = -1e9
+
+
 def _quarantine_if_due(world: World, now_s: float, row: SuspectRow) -> Effects:
-    if len(_uncleared_crashes(row)) < N_CRASHES_TO_QUARANTINE:
+    if not _has_crashed_enough(world, row):
         return []
     is_new = row.quarantined_until_s <= now_s
     row.quarantined_until_s = now_s + QUARANTINE_S
     if not is_new:
         return []
     world.count("quarantined")
-    text = f"request {row.fingerprint} quarantined: present at two server deaths"
+    text = f"request {row.fingerprint} quarantined: present at server deaths"
     return [LogChange(LogLevel.WARNING, text)]
 
 
@@ -125,6 +170,7 @@
     if len(row.crashes) + len(row.cleared) == n_known:
         return []
     row.last_crash_s = now_s
+    _end_quarantine_if_due(world, row)
     return _quarantine_if_due(world, now_s, row)
 
 
--- a/src/rhubarbspan/tables/suspects.py
+++ b/src/rhubarbspan/tables/suspects.py
@@ -12,7 +12,8 @@
 
     Attributes:
         crashes: For each crash of a server, how many requests were in flight on it.
-        cleared: Crashes that a later success of the request has cleared it of.
+        cleared: Crashes that it is no longer suspected of: it succeeded later, or the
+            server had not crashed.
         last_crash_s: When the latest crash became known.
         quarantined_until_s: Until when the request is refused.
     """
@@ -28,7 +29,8 @@
     """Suspects by fingerprint, and the fingerprints in flight at each crash.
 
     Attributes:
-        in_flight_at_crash: Fingerprints that were in flight at each crash.
+        in_flight_at_crash: Fingerprints that were in flight at each crash, each with
+            the time at which its connection broke.
         running: Number of running requests by fingerprint.
     """
 
@@ -36,7 +38,7 @@
 
     def __init__(self) -> None:
         self._rows: dict[str, SuspectRow] = {}
-        self.in_flight_at_crash: dict[str, set[str]] = {}
+        self.in_flight_at_crash: dict[str, dict[str, float]] = {}
         self.running: Counter[str] = Counter()
         self._known_safe: dict[str, None] = {}
 
