Don't send a request whose caller left before it was decided

Callers saw: nothing; servers worked to the end on look-ups whose clients had closed their connections at once after sending them.

Cause: the closing reaches the same tick as the request. A tick handles its inputs by type, and callers that left before new requests, so that the closing found no request, and it is reported only once.

Fix: the intake refuses a request (not run, cancelled) whose caller's leaving is in the same tick. Later ones were handled before.

--- a/src/rhubarbspan/systems/intake.py
+++ b/src/rhubarbspan/systems/intake.py
@@ -6,7 +6,7 @@
 
 from ..configuration import Route, RouteKind, match_route
 from ..effects import Effects, FinishRequest, LogRequest
-from ..inputs import Inbox, RequestArrived, Timer
+from ..inputs import CallerDisconnected, Inbox, RequestArrived, Timer
 from ..tables.requests import RequestRow, RequestState
 from ..verdict import NotRun, Reason
 from ..world import World
@@ -45,9 +45,11 @@
         remove_deleted_routes(world)
         update_rules(world)
     effects: Effects = []
+    # Callers that were gone before the request came up for a decision.
+    gone = {row.request_id for row in inbox.of(CallerDisconnected)}
     for arrived in inbox.of(RequestArrived):
         world.count("requests")
-        match _check_request(world, now_s, arrived):
+        match _check_request(world, now_s, arrived, arrived.request_id in gone):
             case Accepted(route=route, account=account):
                 _add_row(world, now_s, arrived, route, account)
             case NotRun(reason=reason) as verdict:
@@ -89,8 +91,10 @@
 
 
 def _check_request(
-    world: World, now_s: float, arrived: RequestArrived
+    world: World, now_s: float, arrived: RequestArrived, is_caller_gone: bool
 ) -> Accepted | NotRun:
+    if is_caller_gone:
+        return NotRun(Reason.CANCELLED)
     if world.configuration.revision == 0:
         return NotRun(Reason.NOT_READY)
     departure = world.departure
--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -397,6 +397,24 @@
     )
 
 
+def test_lookups_of_callers_that_leave_at_once_are_not_worked_on(
+    site: PlatformSite,
+) -> None:
+    for server in site.servers:
+        server.service_s = 3.0
+
+    async def disconnect(number: int) -> None:
+        _, writer = await site.connect()
+        writer.write(request_bytes(f"/look/{number}"))
+        writer.close()
+
+    for number in range(20):
+        site.run(disconnect(number))
+    site.run(asyncio.sleep(0.5))
+    assert sum(server.n_running for server in site.servers) == 0
+    assert len(site.instances[0].world.requests) == 0
+
+
 def test_what_is_behind_an_answer_that_closes_does_not_run(site: PlatformSite) -> None:
     async def work() -> tuple[Reply, bytes]:
         reader, writer = await site.connect()
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -8,6 +8,7 @@
 from rhubarbspan.effects import Effect, FinishRequest, StartAttempt, WriteClaim
 from rhubarbspan.inputs import (
     AttemptEnded,
+    CallerDisconnected,
     ClaimResult,
     ClaimSettled,
     Completed,
@@ -145,6 +146,20 @@
     assert not attempts(effects)
 
 
+@pytest.mark.parametrize("path", ["/look", "/order"])
+def test_request_whose_caller_left_at_once_is_not_sent(
+    single: Document, make_world: MakeWorld, path: str
+) -> None:
+    world = make_world(single)
+    # The inputs of a tick are handled by type, so that their order does not count.
+    arrived = RequestArrived(1, path, KEY, "k")
+    effects = run_tick(world, NOW_S, [arrived, CallerDisconnected(1)])
+    assert verdicts(effects) == [NotRun(Reason.CANCELLED)]
+    assert not attempts(effects)
+    assert not [e for e in effects if isinstance(e, WriteClaim)]
+    assert len(world.requests) == 0
+
+
 def test_resend_while_the_first_runs_is_not_run_twice(
     single: Document, make_world: MakeWorld
 ) -> None:
