Show that a response cut at any byte never looks whole

Operators of a system like this saw a 200 with an empty or short body, framed as whole, after a server had stopped within its answer's head and closed.

It does not happen here: the parser takes the end of a connection for the end of a response only behind a whole head that gives no length, and a reset is an error there too. The tests stay as the proof. They cut a response at each byte of its head and body, by length, in chunks and without a length, behind an interim response and behind one of another request, by FIN and by RST, and cut responses that are long enough to be forwarded in pieces. The caller gets 502, or a body that breaks off.

--- a/src/rhubarbspan/standins/platform_server.py
+++ b/src/rhubarbspan/standins/platform_server.py
@@ -24,6 +24,9 @@
     STRAY_FIRST = "stray-first"
     EXTRA = "extra"
     CUT = "cut"
+    # The bytes of ``script`` and then the end of the connection, or a reset.
+    SCRIPTED = "scripted"
+    SCRIPTED_RESET = "scripted-reset"
     UNFRAMED = "unframed"
     UNFRAMED_RESET = "unframed-reset"
     UNSIGNED = "unsigned"
@@ -75,6 +78,7 @@
         crash_prefix: The server crashes when it runs a body that starts so: it resets
             all connections. Empty if no body crashes it.
         read_on_after_s: Pause between an early response and the rest of the body.
+        script: Response of the faults that send it.
         service_s: Service time of each request.
         response_bytes: Least size of a response's body.
         runs: Number of runs by request ID.
@@ -90,6 +94,7 @@
     early_after_bytes: int = 0
     crash_prefix: bytes = b""
     read_on_after_s: float = 0.0
+    script: bytes = b""
     service_s: float = 0.0
     response_bytes: int = 40
     runs: Counter[str] = field(default_factory=Counter)
@@ -240,6 +245,12 @@
                 writer.write(response[:-5])
                 await writer.drain()
                 return False
+            case Fault.SCRIPTED | Fault.SCRIPTED_RESET:
+                writer.write(self.script)
+                await writer.drain()
+                if fault is Fault.SCRIPTED_RESET:
+                    _reset(writer)
+                return False
             case Fault.UNFRAMED | Fault.UNFRAMED_RESET:
                 return await _send_unframed(writer, response, body, fault)
             case Fault.UNSIGNED:
