--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -184,6 +184,22 @@
     assert [result.status for result in results] == [200] * 4
 
 
+def test_streamed_upload_that_is_shed_was_not_run_and_is_not_sent_again(
+    site: Site,
+) -> None:
+    backends = site.deployment.backends.values()
+    n_started = sum(backend.n_started for backend in backends)
+    n_shed = sum(backend.n_shed for backend in backends)
+    for backend in backends:
+        backend.n_foreign = 3
+    result = site.send("/put", method="POST", body=b"u" * 2_000_000)
+    for backend in backends:
+        backend.n_foreign = 0
+    assert (result.status, result.verdict, result.reason) == (503, "not-run", "shed")
+    assert sum(backend.n_started for backend in backends) == n_started
+    assert sum(backend.n_shed for backend in backends) == n_shed + 1
+
+
 def test_metrics_and_status_can_be_read(site: Site) -> None:
     entry = site.deployment.entries()[0]
     assert site.send("/look").status == 200
