Don't count an invalid response of a server that is up as a crash

Callers saw: a look-up that got an unsigned, encoded or garbled response from two servers was refused as quarantined for ten minutes.

Cause: an invalid response ended the attempt as a lost connection, which counts as a crash of the server.

Fix: `ConnectionLost` says whether the server still held its end of the connection open when the attempt was given up. Then it has not crashed. That goes for responses that could not be forwarded as well, because the caller had left. A response that breaks off with its connection counts as before.

--- a/src/rhubarbspan/edge/upstream.py
+++ b/src/rhubarbspan/edge/upstream.py
@@ -192,7 +192,8 @@
             return TimedOut(transfer.has_response_started)
         except (ConnectionError, BadResponseError, h11.ProtocolError) as error:
             LOG.debug("{}: {}", effect.server_id, error)
-            return ConnectionLost(transfer.has_response_started)
+            is_server_up = not connection.channel.is_ended
+            return ConnectionLost(transfer.has_response_started, is_server_up)
         finally:
             if is_reusable:
                 self._release(connection)
--- a/src/rhubarbspan/inputs.py
+++ b/src/rhubarbspan/inputs.py
@@ -84,9 +84,12 @@
 
     Attributes:
         has_response_started: Whether part of a response was passed to the caller.
+        is_server_up: Whether the server had not closed the connection, so that it did
+            not crash: its response was invalid, or could not be forwarded.
     """
 
     has_response_started: bool = False
+    is_server_up: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/rhubarbspan/systems/outcomes.py
+++ b/src/rhubarbspan/systems/outcomes.py
@@ -103,9 +103,9 @@
             effects += _update_failure_rate(world, now_s, server, True)
             verdict = NotRun(Reason.CONNECT_FAILED)
             return effects + _retry_or_fail(world, now_s, row, verdict)
-        case ConnectionLost(has_response_started=has_started):
+        case ConnectionLost(has_response_started=has_started, is_server_up=is_up):
             effects += _update_failure_rate(world, now_s, server, True)
-            if server is not None:
+            if server is not None and not is_up:
                 effects += record_crash(world, now_s, row, server)
             reason = Reason.TRUNCATED if has_started else Reason.CONNECTION_LOST
             lost = MayHaveRun(reason)
--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -142,6 +142,19 @@
     assert [reply.status for reply in replies].count(200) >= 3
 
 
+@pytest.mark.parametrize("fault", [Fault.UNSIGNED, Fault.ENCODED, Fault.GARBAGE])
+def test_invalid_answers_of_servers_that_are_up_quarantine_nothing(
+    site: PlatformSite, fault: Fault
+) -> None:
+    world = site.instances[0].world
+    world.queues.queue_of("shop").retry_budget = 5.0
+    _set_faults(site, fault)
+    assert site.send("/look/x").status == 502
+    for row in world.servers.rows():
+        row.ejected_until_s = -1e9
+    _assert_own(site.send("/look/x"), "/look/x")
+
+
 def test_stray_answers_are_skipped_and_surplus_ones_dropped(site: PlatformSite) -> None:
     _set_faults(site, Fault.STRAY_FIRST, Fault.EXTRA, Fault.EXTRA)
     for number in range(8):
