--- a/src/rhubarbspan/edge/upstream.py
+++ b/src/rhubarbspan/edge/upstream.py
@@ -1,9 +1,7 @@
 """Sends attempts to backend servers over pooled connections and reads the responses."""
 
 import asyncio
-from collections.abc import Coroutine
 from dataclasses import dataclass, field
-from enum import Enum
 
 import h11
 import logbook
@@ -28,6 +26,7 @@
     parse_response_headers,
 )
 from .channel import Channel
+from .streaming import SUCCESS_STATUSES, send_body, stream_and_receive
 from .ticker import Ticker
 from .transfer import ServerResponse, Transfer, Transfers
 
@@ -53,21 +52,9 @@
 # A connection is no longer reused after this many refusals, each of which the server
 # might send once more.
 N_MAX_REFUSALS_PER_CONNECTION = 16
-# A response that is complete is passed on this long before the deadline at the latest,
-# even if the server has not yet taken the whole body.
-EARLY_RESPONSE_MARGIN_S = 0.1
-SUCCESS_STATUSES = range(200, 300)
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
-class BodyEnd(Enum):
-    """How the streaming of a body to a server ended."""
-
-    SENT = "sent"
-    CALLER_LEFT = "caller-left"
-    SERVER_LEFT = "server-left"
-
-
 class BadResponseError(Exception):
     """The bytes aren't a complete, valid response to this request."""
 
@@ -285,9 +272,11 @@
             outcome = await self._receive(transfer, effect, connection, exchange)
         else:
             transfer.is_body_consumed = True
-            receiving = self._receive(transfer, effect, connection, exchange)
-            sending = _send_body(transfer, channel, parser)
-            outcome = await self._stream(receiving, sending, deadline_s)
+            outcome = await stream_and_receive(
+                send_body(transfer, channel, parser),
+                self._receive(transfer, effect, connection, exchange),
+                deadline_s,
+            )
         is_reusable = (
             _is_reusable(exchange)
             and not channel.has_unread
@@ -296,37 +285,6 @@
         )
         return outcome, is_reusable
 
-    async def _stream(
-        self,
-        receive: Coroutine[None, None, Outcome],
-        send: Coroutine[None, None, BodyEnd],
-        deadline_s: float,
-    ) -> Outcome:
-        """Send a body as it arrives from the caller, and receive the response.
-
-        A success may come before the end of the body. The caller gets it once the
-        server has the whole body, as a caller with a response may stop sending. After
-        any other early response the rest of the body is not sent.
-        """
-        receiving = asyncio.create_task(receive)
-        sending = asyncio.create_task(send)
-        try:
-            await asyncio.wait(
-                (receiving, sending), return_when=asyncio.FIRST_COMPLETED
-            )
-            if not receiving.done() and sending.result() is BodyEnd.CALLER_LEFT:
-                return Aborted()
-            outcome = await receiving
-            match outcome:
-                case Completed(status=status) if status in SUCCESS_STATUSES:
-                    left_s = deadline_s - self._loop.time() - EARLY_RESPONSE_MARGIN_S
-                    await asyncio.wait((sending,), timeout=max(0.0, left_s))
-            return outcome
-        finally:
-            for task in (receiving, sending):
-                task.cancel()
-            await asyncio.gather(receiving, sending, return_exceptions=True)
-
     async def _receive(
         self,
         transfer: Transfer,
@@ -406,27 +364,6 @@
     return Exchange(h11.Connection(h11.CLIENT), request)
 
 
-async def _send_body(
-    transfer: Transfer, channel: Channel, parser: h11.Connection
-) -> BodyEnd:
-    """Stream the body from the caller to the server."""
-    chunk = transfer.body
-    while chunk:
-        channel.write(parser.send(h11.Data(chunk)) or b"")
-        try:
-            await channel.drain()
-        except ConnectionError as error:
-            LOG.debug("a server closed its connection within a body: {}", error)
-            return BodyEnd.SERVER_LEFT
-        try:
-            chunk = await transfer.read_more()
-        except (ConnectionError, h11.RemoteProtocolError) as error:
-            LOG.debug("a caller closed its connection within a body: {}", error)
-            return BodyEnd.CALLER_LEFT
-    channel.write(parser.send(h11.EndOfMessage()) or b"")
-    return BodyEnd.SENT
-
-
 async def _next_event(channel: Channel, parser: h11.Connection) -> object:
     while True:
         event = parser.next_event()
--- a/src/rhubarbspan/standins/platform_server.py
+++ b/src/rhubarbspan/standins/platform_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 import struct
 from collections import Counter
@@ -153,25 +154,18 @@
         headers = dict(request.headers)
         request_id = headers.get(b"x-request-id", b"").decode()
         fault = self.faults.pop(0) if self.faults else Fault.NONE
-        is_early = fault in EARLY_FAULTS
-        if is_early and self.early_after_bytes == 0:
-            await self._answer_early(writer, fault, request_id)
-            is_early = False
-        body = bytearray()
-        while isinstance(event := await _next_event(reader, parser), h11.Data):
-            body += event.data
-            if is_early and len(body) >= self.early_after_bytes:
-                await self._answer_early(writer, fault, request_id)
-                is_early = False
-        if is_early:
+        body = b""
+        if fault in EARLY_FAULTS:
+            body = await _read_body(reader, parser, self.early_after_bytes)
             await self._answer_early(writer, fault, request_id)
+        body += await _read_body(reader, parser)
         if fault in NOT_RUN_FAULTS:
             if fault not in EARLY_FAULTS:
                 writer.write(_declined_response(fault, request_id, self.server_id))
             self.refused_ids[writer] = request_id
             return _complete_cycle(parser)
         self.runs[request_id] += 1
-        self.requests.append((request.method, request.target, headers, bytes(body)))
+        self.requests.append((request.method, request.target, headers, body))
         if self.crash_prefix and body.startswith(self.crash_prefix):
             self.n_crashes += 1
             for open_writer in self.writers:
@@ -362,6 +356,18 @@
     return parser.our_state is h11.DONE and parser.their_state is h11.DONE
 
 
+async def _read_body(
+    reader: asyncio.StreamReader, parser: h11.Connection, n_bytes: float = math.inf
+) -> bytes:
+    """Read a body up to its end, or until there are this many bytes."""
+    body = bytearray()
+    while len(body) < n_bytes and parser.their_state is h11.SEND_BODY:
+        event = await _next_event(reader, parser)
+        if isinstance(event, h11.Data):
+            body += event.data
+    return bytes(body)
+
+
 async def _next_event(reader: asyncio.StreamReader, parser: h11.Connection) -> object:
     while True:
         event = parser.next_event()
