--- a/src/rhubarbspan/edge/upstream.py
+++ b/src/rhubarbspan/edge/upstream.py
@@ -26,6 +26,7 @@
     parse_response_headers,
 )
 from .channel import Channel
+from .streaming import SUCCESS_STATUSES, send_body, stream_and_receive
 from .ticker import Ticker
 from .transfer import ServerResponse, Transfer, Transfers
 
@@ -51,8 +52,6 @@
 # A connection is no longer reused after this many refusals, each of which the server
 # might send once more.
 N_MAX_REFUSALS_PER_CONNECTION = 16
-READ_BYTES = 65_536
-SUCCESS_STATUSES = range(200, 300)
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -123,6 +122,10 @@
         if transfer is None:
             self._report(effect, Aborted())
             return
+        if transfer.is_body_consumed:
+            LOG.error("{}: the body of a request is gone", effect.server_id)
+            self._report(effect, Aborted(), True)
+            return
         transfer.attempt_id = effect.attempt_id
         transfer.response = None
         transfer.attempt = asyncio.create_task(self._run(transfer, effect))
@@ -141,8 +144,12 @@
             for connection in rows:
                 connection.channel.abort()
 
-    def _report(self, effect: StartAttempt, outcome: Outcome) -> None:
-        ended = AttemptEnded(effect.request_id, effect.attempt_id, outcome)
+    def _report(
+        self, effect: StartAttempt, outcome: Outcome, is_body_consumed: bool = False
+    ) -> None:
+        ended = AttemptEnded(
+            effect.request_id, effect.attempt_id, outcome, is_body_consumed
+        )
         self._ticker.inputs.on_next(ended)
 
     async def _run(self, transfer: Transfer, effect: StartAttempt) -> None:
@@ -153,10 +160,8 @@
         except Exception:
             # Unexpected errors also need an outcome, so that the request always ends.
             LOG.exception("an attempt failed with an unexpected error")
-            outcome = ConnectionLost(
-                transfer.has_response_started, transfer.is_body_consumed
-            )
-        self._report(effect, outcome)
+            outcome = ConnectionLost(transfer.has_response_started)
+        self._report(effect, outcome, transfer.is_body_consumed)
 
     async def _attempt(self, transfer: Transfer, effect: StartAttempt) -> Outcome:
         deadline_s = self._loop.time() + effect.timeout_s
@@ -174,9 +179,8 @@
             return TimedOut(transfer.has_response_started)
         except (ConnectionError, BadResponseError, h11.ProtocolError) as error:
             LOG.debug("{}: {}", effect.server_id, error)
-            return ConnectionLost(
-                transfer.has_response_started, transfer.is_body_consumed
-            )
+            is_server_up = not connection.channel.is_ended
+            return ConnectionLost(transfer.has_response_started, is_server_up)
         finally:
             if is_reusable:
                 self._release(connection)
@@ -261,20 +265,25 @@
         exchange = _create_exchange(transfer, effect, deadline_s - self._loop.time())
         parser = exchange.parser
         channel.write(parser.send(exchange.request) or b"")
-        sending: asyncio.Task[None] | None = None
         if transfer.is_body_complete:
             if transfer.body:
                 channel.write(parser.send(h11.Data(transfer.body)) or b"")
             channel.write(parser.send(h11.EndOfMessage()) or b"")
+            outcome = await self._receive(transfer, effect, connection, exchange)
         else:
             transfer.is_body_consumed = True
-            sending = asyncio.create_task(_send_body(transfer, channel, parser))
-        try:
-            return await self._receive(transfer, effect, connection, exchange)
-        finally:
-            if sending is not None:
-                sending.cancel()
-                await asyncio.gather(sending, return_exceptions=True)
+            outcome = await stream_and_receive(
+                send_body(transfer, channel, parser),
+                self._receive(transfer, effect, connection, exchange),
+                deadline_s,
+            )
+        is_reusable = (
+            _is_reusable(exchange)
+            and not channel.has_unread
+            and bool(transfer.caller_request_id)
+            and len(connection.refused_ids) < N_MAX_REFUSALS_PER_CONNECTION
+        )
+        return outcome, is_reusable
 
     async def _receive(
         self,
@@ -282,7 +291,7 @@
         effect: StartAttempt,
         connection: Connection,
         exchange: Exchange,
-    ) -> tuple[Outcome, bool]:
+    ) -> Outcome:
         head, fields = await _read_head(transfer, connection.channel, exchange)
         if fields.load is not None:
             self._ticker.inputs.on_next(
@@ -295,27 +304,17 @@
         if not is_not_run:
             _check_response(head, fields)
         body = await self._read_body(transfer, connection.channel, exchange, head)
-        is_reusable = (
-            _is_reusable(exchange)
-            and not connection.channel.has_unread
-            and bool(transfer.caller_request_id)
-        )
         if is_not_run:
             connection.refused_ids.add(transfer.caller_request_id)
-            n_refusals = len(connection.refused_ids)
-            is_reusable = is_reusable and n_refusals < N_MAX_REFUSALS_PER_CONNECTION
         if head.status_code == MISDIRECTED:
-            return Misdirected(), is_reusable
+            return Misdirected()
         if is_not_run:
-            if transfer.is_body_consumed:
-                # The streamed body was consumed, so no other server can get it.
-                return ConnectionLost(False, True), is_reusable
-            return Shed(), is_reusable
+            return Shed()
         if not transfer.has_response_started:
             transfer.response = ServerResponse(
                 head.status_code, list(head.headers), body
             )
-        return Completed(head.status_code), is_reusable
+        return Completed(head.status_code)
 
     async def _read_body(
         self,
@@ -365,21 +364,6 @@
     return Exchange(h11.Connection(h11.CLIENT), request)
 
 
-async def _send_body(
-    transfer: Transfer, channel: Channel, parser: h11.Connection
-) -> None:
-    """Stream the body from the caller to the server."""
-    chunk = transfer.body
-    while True:
-        if chunk:
-            channel.write(parser.send(h11.Data(chunk)) or b"")
-            await channel.drain()
-        chunk = await transfer.read_more()
-        if not chunk:
-            break
-    channel.write(parser.send(h11.EndOfMessage()) or b"")
-
-
 async def _next_event(channel: Channel, parser: h11.Connection) -> object:
     while True:
         event = parser.next_event()
--- a/src/rhubarbspan/inputs.py
+++ b/src/rhubarbspan/inputs.py
@@ -19,8 +19,8 @@
         path: Path of the request target, without the query.
         key_hash: SHA-256 hash of the caller's key, or an empty string.
         idempotency_key: The caller's idempotency key, or an empty string.
-        body_digest: Hash of method, target and body if the body is held in memory,
-            otherwise an empty string.
+        body_digest: Hash of method, target and body by which resends are known, or an
+            empty string. Of a body that is streamed it covers the first part.
         is_replayable: Whether the edge can send the body again on a retry.
         n_body_bytes: Length of the body, or -1 if it is unknown.
         timeout_s: Timeout that the caller set, or 0 if it set none.
@@ -84,11 +84,12 @@
 
     Attributes:
         has_response_started: Whether part of a response was passed to the caller.
-        is_body_consumed: Whether the body was streamed and can't be sent again.
+        is_server_up: Whether the server had not closed the connection, so that it did
+            not crash: its response was invalid, or could not be forwarded.
     """
 
     has_response_started: bool = False
-    is_body_consumed: bool = False
+    is_server_up: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,11 +111,17 @@
 
 @dataclass(slots=True)
 class AttemptEnded:
-    """An attempt to run a request on a backend server ended."""
+    """An attempt to run a request on a backend server ended.
+
+    Attributes:
+        is_body_consumed: Whether the body was streamed and can't be sent again,
+            whatever the outcome.
+    """
 
     request_id: int
     attempt_id: int
     outcome: Outcome
+    is_body_consumed: bool = False
 
 
 @dataclass(slots=True)
--- a/src/rhubarbspan/standins/platform_server.py
+++ b/src/rhubarbspan/standins/platform_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 import struct
 from collections import Counter
@@ -24,6 +25,9 @@
     STRAY_FIRST = "stray-first"
     EXTRA = "extra"
     CUT = "cut"
+    # The bytes of ``script`` and then the end of the connection, or a reset.
+    SCRIPTED = "scripted"
+    SCRIPTED_RESET = "scripted-reset"
     UNFRAMED = "unframed"
     UNFRAMED_RESET = "unframed-reset"
     UNSIGNED = "unsigned"
@@ -31,7 +35,11 @@
     GARBAGE = "garbage"
     LOST = "lost"
     SILENT = "silent"
+    # Responses before the end of the body, which is read on.
     EARLY = "early"
+    EARLY_SHED = "early-shed"
+    EARLY_MISDIRECTED = "early-misdirected"
+    EARLY_TOO_LARGE = "early-too-large"
     # A refusal of an earlier request of the connection, once more, in place of the
     # response.
     REFUSAL_AGAIN = "refusal-again"
@@ -46,12 +54,32 @@
     ENDLESS_STRAY_BODY = "endless-stray-body"
 
 
+EARLY_FAULTS = (
+    Fault.EARLY,
+    Fault.EARLY_SHED,
+    Fault.EARLY_MISDIRECTED,
+    Fault.EARLY_TOO_LARGE,
+)
+NOT_RUN_FAULTS = (
+    Fault.SHED,
+    Fault.MISDIRECTED,
+    Fault.EARLY_SHED,
+    Fault.EARLY_MISDIRECTED,
+    Fault.EARLY_TOO_LARGE,
+)
+
+
 @dataclass(slots=True)
 class PlatformServerStandIn:
     """A server that runs requests and counts the runs.
 
     Attributes:
         faults: Faults of the next responses, in order; later ones have no fault.
+        early_after_bytes: Bytes of the body that are read before an early response.
+        crash_prefix: The server crashes when it runs a body that starts so: it resets
+            all connections. Empty if no body crashes it.
+        read_on_after_s: Pause between an early response and the rest of the body.
+        script: Response of the faults that send it.
         service_s: Service time of each request.
         response_bytes: Least size of a response's body.
         runs: Number of runs by request ID.
@@ -64,19 +92,25 @@
     server_id: str
     address: str = ""
     faults: list[Fault] = field(default_factory=list)
+    early_after_bytes: int = 0
+    crash_prefix: bytes = b""
+    read_on_after_s: float = 0.0
+    script: bytes = b""
     service_s: float = 0.0
     response_bytes: int = 40
     runs: Counter[str] = field(default_factory=Counter)
     requests: list[tuple[bytes, bytes, dict[bytes, bytes], bytes]] = field(
-        default_factory=list
+        default_factory=list, repr=False
     )
     refused_ids: dict[asyncio.StreamWriter, str] = field(default_factory=dict)
     n_endless_bytes: int = 0
     n_connections: int = 0
+    n_crashes: int = 0
     n_cancelled: int = 0
     n_running: int = 0
     server: asyncio.Server | None = None
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    writers: set[asyncio.StreamWriter] = field(default_factory=set, repr=False)
 
     async def start(self) -> None:
         """Start to listen on loopback."""
@@ -100,10 +134,12 @@
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
         self.n_connections += 1
+        self.writers.add(writer)
         parser = h11.Connection(h11.SERVER)
         with contextlib.suppress(ConnectionError, h11.ProtocolError):
             while await self._handle_request(reader, writer, parser):
                 parser.start_next_cycle()
+        self.writers.discard(writer)
         writer.close()
 
     async def _handle_request(
@@ -118,21 +154,45 @@
         headers = dict(request.headers)
         request_id = headers.get(b"x-request-id", b"").decode()
         fault = self.faults.pop(0) if self.faults else Fault.NONE
-        if fault is Fault.EARLY:
-            writer.write(self._signed_response(request_id, b"early"))
         body = b""
-        while isinstance(event := await _next_event(reader, parser), h11.Data):
-            body += event.data
-        if fault in (Fault.SHED, Fault.MISDIRECTED):
-            writer.write(_declined_response(fault, request_id, self.server_id))
+        if fault in EARLY_FAULTS:
+            body = await _read_body(reader, parser, self.early_after_bytes)
+            await self._answer_early(writer, fault, request_id)
+        body += await _read_body(reader, parser)
+        if fault in NOT_RUN_FAULTS:
+            if fault not in EARLY_FAULTS:
+                writer.write(_declined_response(fault, request_id, self.server_id))
             self.refused_ids[writer] = request_id
             return _complete_cycle(parser)
         self.runs[request_id] += 1
         self.requests.append((request.method, request.target, headers, body))
+        if self.crash_prefix and body.startswith(self.crash_prefix):
+            self.n_crashes += 1
+            for open_writer in self.writers:
+                _reset(open_writer)
+            return False
         if not await self._wait_service_time(reader):
             return False
         return await self._send_response(writer, parser, fault, request_id)
 
+    async def _answer_early(
+        self, writer: asyncio.StreamWriter, fault: Fault, request_id: str
+    ) -> None:
+        match fault:
+            case Fault.EARLY_SHED:
+                response = _declined_response(Fault.SHED, request_id, self.server_id)
+            case Fault.EARLY_MISDIRECTED:
+                response = _declined_response(
+                    Fault.MISDIRECTED, request_id, self.server_id
+                )
+            case Fault.EARLY_TOO_LARGE:
+                response = self._signed_response(request_id, b"too large")
+                response = response.replace(b"200 OK", b"413 Content Too Large", 1)
+            case _:
+                response = self._signed_response(request_id, b"early")
+        writer.write(response)
+        await asyncio.sleep(self.read_on_after_s)
+
     async def _wait_service_time(self, reader: asyncio.StreamReader) -> bool:
         """Wait for the service time; return whether the connection is still open."""
         self.n_running += 1
@@ -179,6 +239,12 @@
                 writer.write(response[:-5])
                 await writer.drain()
                 return False
+            case Fault.SCRIPTED | Fault.SCRIPTED_RESET:
+                writer.write(self.script)
+                await writer.drain()
+                if fault is Fault.SCRIPTED_RESET:
+                    _reset(writer)
+                return False
             case Fault.UNFRAMED | Fault.UNFRAMED_RESET:
                 return await _send_unframed(writer, response, body, fault)
             case Fault.UNSIGNED:
@@ -290,6 +356,18 @@
     return parser.our_state is h11.DONE and parser.their_state is h11.DONE
 
 
+async def _read_body(
+    reader: asyncio.StreamReader, parser: h11.Connection, n_bytes: float = math.inf
+) -> bytes:
+    """Read a body up to its end, or until there are this many bytes."""
+    body = bytearray()
+    while len(body) < n_bytes and parser.their_state is h11.SEND_BODY:
+        event = await _next_event(reader, parser)
+        if isinstance(event, h11.Data):
+            body += event.data
+    return bytes(body)
+
+
 async def _next_event(reader: asyncio.StreamReader, parser: h11.Connection) -> object:
     while True:
         event = parser.next_event()
--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -142,6 +142,19 @@
     assert [reply.status for reply in replies].count(200) >= 3
 
 
+@pytest.mark.parametrize("fault", [Fault.UNSIGNED, Fault.ENCODED, Fault.GARBAGE])
+def test_invalid_answers_of_servers_that_are_up_quarantine_nothing(
+    site: PlatformSite, fault: Fault
+) -> None:
+    world = site.instances[0].world
+    world.queues.queue_of("shop").retry_budget = 5.0
+    _set_faults(site, fault)
+    assert site.send("/look/x").status == 502
+    for row in world.servers.rows():
+        row.ejected_until_s = -1e9
+    _assert_own(site.send("/look/x"), "/look/x")
+
+
 def test_stray_answers_are_skipped_and_surplus_ones_dropped(site: PlatformSite) -> None:
     _set_faults(site, Fault.STRAY_FIRST, Fault.EXTRA, Fault.EXTRA)
     for number in range(8):
@@ -397,6 +410,24 @@
     )
 
 
+def test_lookups_of_callers_that_leave_at_once_are_not_worked_on(
+    site: PlatformSite,
+) -> None:
+    for server in site.servers:
+        server.service_s = 3.0
+
+    async def disconnect(number: int) -> None:
+        _, writer = await site.connect()
+        writer.write(request_bytes(f"/look/{number}"))
+        writer.close()
+
+    for number in range(20):
+        site.run(disconnect(number))
+    site.run(asyncio.sleep(0.5))
+    assert sum(server.n_running for server in site.servers) == 0
+    assert len(site.instances[0].world.requests) == 0
+
+
 def test_what_is_behind_an_answer_that_closes_does_not_run(site: PlatformSite) -> None:
     async def work() -> tuple[Reply, bytes]:
         reader, writer = await site.connect()
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -8,11 +8,13 @@
 from rhubarbspan.effects import Effect, FinishRequest, StartAttempt, WriteClaim
 from rhubarbspan.inputs import (
     AttemptEnded,
+    CallerDisconnected,
     ClaimResult,
     ClaimSettled,
     Completed,
     ConnectFailed,
     ConnectionLost,
+    Misdirected,
     Outcome,
     RequestArrived,
     Shed,
@@ -103,6 +105,29 @@
     assert verdicts(effects) == ([verdict] if verdict else [])
 
 
+@pytest.mark.parametrize(
+    ("outcome", "verdict"),
+    [
+        (Shed(), NotRun(Reason.SHED)),
+        (Misdirected(), NotRun(Reason.SHED)),
+        (ConnectFailed(), NotRun(Reason.CONNECT_FAILED)),
+        (ConnectionLost(), MayHaveRun(Reason.CONNECTION_LOST)),
+        (TimedOut(), MayHaveRun(Reason.DEADLINE)),
+    ],
+)
+def test_request_whose_body_was_streamed_is_never_sent_again(
+    single: Document, make_world: MakeWorld, outcome: Outcome, verdict: Verdict
+) -> None:
+    world = make_world(single, n_servers=2)
+    run_tick(world, NOW_S, [RequestArrived(1, "/look", KEY, is_replayable=False)])
+    ended = AttemptEnded(1, 1, outcome, is_body_consumed=True)
+    effects = run_tick(world, NOW_S + 0.1, [ended])
+    (finished,) = [e for e in effects if isinstance(e, FinishRequest)]
+    assert finished.verdict == verdict
+    assert (finished.retry_after_s > 0) == isinstance(verdict, NotRun)
+    assert not attempts(effects + run_tick(world, NOW_S + 0.25, []))
+
+
 @pytest.mark.parametrize(
     ("result", "verdict"),
     [
@@ -121,6 +146,20 @@
     assert not attempts(effects)
 
 
+@pytest.mark.parametrize("path", ["/look", "/order"])
+def test_request_whose_caller_left_at_once_is_not_sent(
+    single: Document, make_world: MakeWorld, path: str
+) -> None:
+    world = make_world(single)
+    # The inputs of a tick are handled by type, so that their order does not count.
+    arrived = RequestArrived(1, path, KEY, "k")
+    effects = run_tick(world, NOW_S, [arrived, CallerDisconnected(1)])
+    assert verdicts(effects) == [NotRun(Reason.CANCELLED)]
+    assert not attempts(effects)
+    assert not [e for e in effects if isinstance(e, WriteClaim)]
+    assert len(world.requests) == 0
+
+
 def test_resend_while_the_first_runs_is_not_run_twice(
     single: Document, make_world: MakeWorld
 ) -> None:
