Let an unreadable record cost that record alone

Callers saw: from one odd entry under servers/ on, no instance heard of any server any more.

Cause: the decoder raised for what it did not expect instead of returning a failure: RecursionError for deep nesting, ValueError for a port of 5,000 digits or of digits such as U+00B2. The task that follows the servers ended with that error. Besides, records with numbers that no server reports (a start time beyond 64 bits, 10^9 slots), a key that is no header value, and instances without an IP address were taken up.

Change: decoders return a failure for anything that is no record. The checks of names, addresses and numbers are in one module, record_checks, which names the bounds.

--- a/src/rhubarbspan/cli.py
+++ b/src/rhubarbspan/cli.py
@@ -9,7 +9,7 @@
 
 from . import __version__
 from .console import EXIT_FAILURE
-from .settings import is_ip_and_port
+from .record_checks import is_ip_and_port
 
 DEFAULT_STORE = "127.0.0.1:8500"
 DEFAULT_CONFIGURATION = "examples/parrilla.ini"
--- a/src/rhubarbspan/platform/records.py
+++ b/src/rhubarbspan/platform/records.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from ..inputs import PeerListing, ServerListing
-from ..settings import is_ip_and_port
+from ..record_checks import find_peer_problem, find_server_problem
 from ..verdict import Failure
 
 CONFIGURATION_KEY = "op/config"
@@ -13,6 +13,9 @@
 EVACUATION_PREFIX = "op/evacuate/"
 SERVER_PREFIX = "servers/"
 INSTANCE_PREFIX = "rhubarbspan/instances/"
+# What a decoder raises for bytes that are not a record. Deep nesting exceeds the
+# interpreter's recursion limit, even in fields that are skipped.
+DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
 
 
 class _State(Enum):
@@ -56,25 +59,25 @@
     """Decode the record of a backend server.
 
     Returns:
-        The server, or a failure with the key and what is wrong with the record.
+        The server, or a failure with what is wrong with the record.
     """
     try:
         record = _SERVER_DECODER.decode(value)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Failure("malformed", f"{key}: {error}")
-    if not is_ip_and_port(record.address):
-        return Failure("malformed", f"{key}: no address")
-    return ServerListing(
+    except DECODE_ERRORS as error:
+        return Failure("malformed", str(error))
+    server = ServerListing(
         key.removeprefix(SERVER_PREFIX),
         record.instanceInfo.service,
         record.address,
         record.instanceInfo.zone,
         record.status.state is _State.DRAINING,
-        n_slots=max(1, record.instanceInfo.slots),
+        n_slots=record.instanceInfo.slots or 1,
         incarnation=record.born,
         cold_s=max(0.0, record.status.coldRemainingS),
         sequence=record.status.sequence,
     )
+    problem = find_server_problem(server)
+    return Failure("malformed", problem) if problem else server
 
 
 def evacuated_data_centre(key: str) -> str:
@@ -93,15 +96,17 @@
 
 
 def decode_instance(key: str, value: bytes) -> PeerListing | Failure:
-    """Decode the record of an instance, or return a failure that names its key."""
+    """Decode the record of an instance, or return what is wrong with it."""
     try:
         record = _INSTANCE_DECODER.decode(value)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Failure("malformed", f"{key}: {error}")
-    return PeerListing(
+    except DECODE_ERRORS as error:
+        return Failure("malformed", str(error))
+    peer = PeerListing(
         key.removeprefix(INSTANCE_PREFIX),
         record.peer_address,
         record.address,
         record.data_centre,
         record.is_leaving,
     )
+    problem = find_peer_problem(peer)
+    return Failure("malformed", problem) if problem else peer
--- a/src/rhubarbspan/platform/settings.py
+++ b/src/rhubarbspan/platform/settings.py
@@ -4,7 +4,7 @@
 
 import yaml
 
-from ..settings import is_ip_and_port
+from ..record_checks import is_ip_and_port
 from ..verdict import Failure
 
 PATH_VARIABLE = "RHUBARBSPAN_SETTINGS"
--- a/src/rhubarbspan/settings.py
+++ b/src/rhubarbspan/settings.py
@@ -1,10 +1,10 @@
 """Reads the settings of one instance from an INI file."""
 
 import configparser
-import ipaddress
 from dataclasses import dataclass
 
 from .logs import LOG_FORMATS
+from .record_checks import is_ip_and_port
 from .verdict import Failure
 
 SECTIONS: dict[str, tuple[str, ...]] = {
@@ -14,7 +14,6 @@
     "log": ("level", "format"),
 }
 LOG_LEVELS = ("DEBUG", "INFO", "NOTICE", "WARNING", "ERROR")
-MAX_PORT = 65535
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,21 +110,6 @@
     return None
 
 
-def is_ip_and_port(text: str) -> bool:
-    """Return whether a text is an IP address and a port.
-
-    Example:
-        >>> is_ip_and_port("127.0.0.1:80"), is_ip_and_port("localhost:80")
-        (True, False)
-    """
-    host, _, port = text.rpartition(":")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-    except ValueError:
-        return False
-    return port.isdigit() and 0 < int(port) <= MAX_PORT
-
-
 def _read_seeds(text: str) -> tuple[tuple[str, str], ...] | None:
     seeds = []
     for part in text.split(","):
--- /dev/null
+++ b/tests/test_unreadable_entries.py
@@ -0,0 +1,174 @@
+"""Tests of entries that other writers left: each costs that entry alone."""
+
+import asyncio
+import json
+
+import pytest
+
+from platform_site import PlatformSite
+from rhubarbspan.platform.records import decode_instance, decode_server
+from rhubarbspan.record_checks import is_ip_and_port
+from rhubarbspan.verdict import Failure
+
+DRAIN_S = 2.5
+DEEP = b'{"x":' + b"[" * 2000
+N_DIGITS = 5000
+
+
+def record(**changes: object) -> bytes:
+    """Encode a server's record; `status__state` names a nested field."""
+    fields: dict[str, object] = {
+        "address": "10.0.0.1:80",
+        "instanceInfo": {"service": "shop", "zone": "a-1", "slots": 3},
+        "status": {"state": "ready", "sequence": 4, "coldRemainingS": 0.0},
+        "born": 17,
+    }
+    for key, value in changes.items():
+        outer, _, inner = key.partition("__")
+        if inner:
+            fields[outer] = {**fields[outer], inner: value}  # type: ignore[dict-item]
+        else:
+            fields[outer] = value
+    return json.dumps(fields).encode()
+
+
+def with_number(field: str, text: bytes) -> bytes:
+    """Encode a record in which a field has a number that is given as JSON text."""
+    return record(**{field: "MARK"}).replace(b'"MARK"', text)
+
+
+UNREADABLE = [
+    DEEP,
+    b'{"x":' + b'{"x":' * 2000,
+    b"",
+    b"\xff\xfe",
+    b"[]",
+    record()[:-1],
+    record(address="10.0.0.1:" + "9" * N_DIGITS),
+    record(address="10.0.0.1:70000"),
+    record(address="10.0.0.1:0"),
+    record(address="10.0.0.1:-1"),
+    record(address="10.0.0.1:\u00b2\u00b2"),
+    record(address="10.0.0.1:\u0668\u0660"),
+    record(address="10.0.0.1"),
+    record(address="localhost:80"),
+    record(address="[10.0.0.1]:80"),
+    record(address="::1%\n:80"),
+    record(address=["10.0.0.1", 80]),
+    record(address={"ip": "10.0.0.1"}),
+    record(instanceInfo__service=""),
+    record(instanceInfo__service=None),
+    record(instanceInfo__zone=7),
+    record(instanceInfo=[]),
+    record(instanceInfo__slots=-1),
+    record(instanceInfo__slots=10**9),
+    record(instanceInfo__slots="3"),
+    record(instanceInfo__slots=True),
+    record(status__state="resting"),
+    record(status__state=None),
+    record(status__sequence=-1),
+    record(status__sequence=10**30),
+    record(status__coldRemainingS=1e300),
+    record(status__coldRemainingS=float("nan")),
+    record(status__coldRemainingS="1"),
+    record(born=-1),
+    record(born=10**30),
+    record(born=1.5),
+    with_number("born", b"9" * N_DIGITS),
+    with_number("status__sequence", b"9" * N_DIGITS),
+    with_number("instanceInfo__slots", b"1e400"),
+    with_number("status__coldRemainingS", b"1e400"),
+    with_number("status__coldRemainingS", b"-Infinity"),
+    record(address="10.0.0.1:80" * 50_000),
+]
+ODD_KEYS = ["", "a/b", "a b", "a\n", "\u00e9", "a\x7f", "x" * 201]
+
+
+@pytest.mark.parametrize("value", UNREADABLE, ids=lambda v: repr(v[-60:]))
+def test_unreadable_record_is_a_failure_with_a_reason(value: bytes) -> None:
+    failure = decode_server("servers/i-1", value)
+    assert isinstance(failure, Failure)
+    assert failure.reason
+
+
+@pytest.mark.parametrize("name", ODD_KEYS)
+def test_key_that_is_no_identifier_names_no_server(name: str) -> None:
+    assert isinstance(decode_server(f"servers/{name}", record()), Failure)
+    instance = (
+        b'{"address":"10.0.0.1:1","peer_address":"10.0.0.1:2","data_centre":"a-1"}'
+    )
+    assert not isinstance(
+        decode_instance("rhubarbspan/instances/n-1", instance), Failure
+    )
+    key = f"rhubarbspan/instances/{name}"
+    assert isinstance(decode_instance(key, instance), Failure)
+
+
+# Connecting to a name would need a name look-up.
+@pytest.mark.parametrize("field", ["address", "peer_address"])
+@pytest.mark.parametrize("address", ["host:1", "", "10.0.0.1", "10.0.0.1:\u00b2"])
+def test_instance_without_a_usable_address_is_a_failure(
+    field: str, address: str
+) -> None:
+    fields = {"address": "10.0.0.1:1", "peer_address": "10.0.0.1:2", "data_centre": "a"}
+    value = json.dumps({**fields, field: address}).encode()
+    assert isinstance(decode_instance("rhubarbspan/instances/n-1", value), Failure)
+
+
+@pytest.mark.parametrize("address", ["1.2.3.4:1", "[::1]:65535", "::1:80"])
+def test_usable_address_is_accepted(address: str) -> None:
+    assert is_ip_and_port(address)
+
+
+# DRAIN: one entry ended the reading of all servers, on all instances.
+def test_draining_and_new_servers_are_heard_of_beside_unreadable_entries(
+    deployed: PlatformSite,
+) -> None:
+    site = deployed
+    for position, value in enumerate(UNREADABLE):
+        site.store.put(f"servers/i-0000beef{position}", value)
+    for name in ODD_KEYS:
+        site.store.put(f"servers/{name}", record())
+    site.run(asyncio.sleep(1.5))
+    leaving, staying = site.servers[:2]
+    site.deployment.drain(leaving)
+    added = site.run(site.deployment.add_server())
+    site.run(asyncio.sleep(DRAIN_S))
+    n_before = len(leaving.requests)
+    for count in range(20):
+        assert site.send(f"/order/{count}", "POST", b"b").status == 200
+    assert len(leaving.requests) == n_before
+    assert staying.requests
+    assert added.requests
+    listed = {row.server_id for row in site.instances[0].world.servers.rows()}
+    assert listed <= {server.server_id for server in site.servers}
+
+
+# It answered each request with 503, since its first reading ended in the same way.
+def test_instance_that_starts_beside_unreadable_entries_serves(
+    deployed: PlatformSite,
+) -> None:
+    site = deployed
+    site.store.put("servers/i-0000beef", DEEP)
+    site.store.put("rhubarbspan/instances/beef", DEEP)
+    site.store.put("op/beef", DEEP)
+    started = site.run(site.add_instance("front-a-2"))
+    site.wait_for(
+        lambda: len(started.world.servers.rows()) == 2, "it knows the servers"
+    )
+    site.wait_for(lambda: started.world.peers.alive(), "it knows its peer")
+    assert len(started.world.servers.rows()) == 2
+    assert [row.seat for row in started.world.peers.rows()] == ["front-a-1"]
+
+
+# It would otherwise get requests on what was known of it before.
+def test_known_server_whose_record_becomes_unreadable_gets_no_requests(
+    deployed: PlatformSite,
+) -> None:
+    site = deployed
+    site.store.put("servers/i-0", DEEP)
+    site.run(asyncio.sleep(DRAIN_S))
+    n_before = len(site.servers[0].requests)
+    for count in range(10):
+        assert site.send(f"/look/{count}").status == 200
+    assert len(site.servers[0].requests) == n_before
