Refuse configurations with numbers that cannot be used

What the operator's key holds comes from the store, which checks it; a value that isn't a configuration must still cost only itself. Deep nesting raised RecursionError, a burst of infinity or NaN an arithmetic error in the task that follows the operator's prefix, which ended it for good; a version beyond 64 bits would have been in force for ever, since the revision never decreases, and could not be sent to peers.

All errors of decoding and translating are a failure now, and the version is bounded.

--- a/src/rhubarbspan/platform/configuration.py
+++ b/src/rhubarbspan/platform/configuration.py
@@ -6,7 +6,9 @@
 import msgspec
 
 from ..document import Document, Section
+from ..record_checks import MAX_INTEGER
 from ..verdict import Failure
+from .records import DECODE_ERRORS
 
 # Rate and burst of a client account without a limit.
 UNLIMITED = "1000000"
@@ -106,8 +108,17 @@
     """
     try:
         decoded = _DECODER.decode(value)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        document = _to_document(decoded, regions, max_age_s)
+    except (*DECODE_ERRORS, ArithmeticError) as error:
         return Failure("malformed", f"configuration: {error}")
+    if not 0 < decoded.version <= MAX_INTEGER:
+        return Failure("malformed", f"version: accepted: 1 to {MAX_INTEGER}")
+    return TranslatedConfiguration(decoded.version, document)
+
+
+def _to_document(
+    decoded: _Configuration, regions: dict[str, str], max_age_s: float
+) -> Document:
     document: Document = {
         f"data_centre {_valid_name(zone)}": {"region": region, "seats": "0"}
         for zone, region in regions.items()
@@ -127,7 +138,7 @@
             section = _translate_path(host.host, path, needs_keys, max_age_s)
             document[title] = section
     document["limits callers"] = _translate_limits(decoded.limits)
-    return TranslatedConfiguration(decoded.version, document)
+    return document
 
 
 def _unused_title(document: Document, title: str) -> str:
--- a/tests/test_unreadable_entries.py
+++ b/tests/test_unreadable_entries.py
@@ -6,6 +6,7 @@
 import pytest
 
 from platform_site import PlatformSite
+from rhubarbspan.platform.configuration import translate_configuration
 from rhubarbspan.platform.records import decode_instance, decode_server
 from rhubarbspan.record_checks import is_ip_and_port
 from rhubarbspan.verdict import Failure
@@ -172,3 +173,22 @@
     for count in range(10):
         assert site.send(f"/look/{count}").status == 200
     assert len(site.servers[0].requests) == n_before
+
+
+UNREADABLE_CONFIGURATIONS = [
+    DEEP,
+    b'{"version": 1e400}',
+    b'{"version": ' + b"9" * N_DIGITS + b"}",
+    b'{"version": 0}',
+    b'{"version": ' + str(2**63).encode() + b"}",
+    b'{"version": 2, "services": [{"name": "s", "connectionLimit": '
+    + b"9" * N_DIGITS
+    + b"}]}",
+    b'{"version": 2, "tenants": [{"name": "t", "ratePerS": 1, "burst": "inf"}]}',
+    b'{"version": 2, "tenants": [{"name": "t", "ratePerS": 1, "burst": "nan"}]}',
+]
+
+
+@pytest.mark.parametrize("value", UNREADABLE_CONFIGURATIONS, ids=lambda v: repr(v[:60]))
+def test_unreadable_configuration_is_a_failure(value: bytes) -> None:
+    assert isinstance(translate_configuration(value, {"a-1": "a"}, 4.0), Failure)
