Go on reading the store after an unexpected error

An unexpected error now costs a second: it is logged with its traceback, counted as task_failures, and the prefix is read anew. Also an update of another reader that fails makes the copy be read anew. An error while one entry is decoded costs that entry.

Entries are decoded in edge/entries.py. Each unreadable one is logged with its key and why at most once a minute, whatever its value is by then (before: at each change of its value, with the value kept for good), and at most 100 lines a minute are written; the rest is counted. In test_fleet_size.py the recording decoder is given to the feed's reader instead of patched into the module, since the decoding has moved; the assertions are the same.

test_reading_goes_on_after_an_unexpected_error failed for each of the three prefixes on the code before, where the entries of that prefix never arrived.

--- /dev/null
+++ b/src/rhubarbspan/edge/failures.py
@@ -0,0 +1,56 @@
+"""Reports failures of long-lived tasks and of single entries, each of them seldom."""
+
+from collections.abc import Callable
+
+import logbook
+
+LOG = logbook.Logger("rhubarbspan")
+REPEAT_S = 60.0
+# Bounds the memory for what was reported, and so the lines in the time above.
+N_MAX_REPORTED = 100
+MAX_SHOWN_LENGTH = 250
+
+
+class FailureLog:
+    """Logs the same failure at most once in ``REPEAT_S``, and counts all."""
+
+    __slots__ = ("_count", "_now_s", "_reported_s")
+
+    def __init__(
+        self, count: Callable[[str, str], None], now_s: Callable[[], float]
+    ) -> None:
+        self._count = count
+        self._now_s = now_s
+        # Times of the latest lines, the oldest first.
+        self._reported_s: dict[str, float] = {}
+
+    def report_entry(self, key: str, reason: str) -> None:
+        """Report an entry that is of no use, whatever its value is by now."""
+        if self._is_due(key):
+            shown = ascii(key[:MAX_SHOWN_LENGTH])
+            LOG.warning("entry {}: {}", shown, reason[:MAX_SHOWN_LENGTH])
+
+    def report_error(self, task: str) -> None:
+        """Report the exception that is being handled, with its traceback.
+
+        Args:
+            task: What has failed. It goes on, so that nothing else would tell of it.
+        """
+        self._count("task_failures", task)
+        if self._is_due(task):
+            LOG.exception("{} failed and goes on", task)
+
+    def _is_due(self, key: str) -> bool:
+        now_s = self._now_s()
+        while self._reported_s:
+            oldest = next(iter(self._reported_s))
+            if now_s - self._reported_s[oldest] < REPEAT_S:
+                break
+            del self._reported_s[oldest]
+        if key in self._reported_s:
+            return False
+        if len(self._reported_s) >= N_MAX_REPORTED:
+            self._count("failure_lines_left_out", "")
+            return False
+        self._reported_s[key] = now_s
+        return True
--- a/src/rhubarbspan/edge/feed.py
+++ b/src/rhubarbspan/edge/feed.py
@@ -11,7 +11,6 @@
 from ..inputs import (
     ConfigurationReceived,
     EvacuationsListed,
-    PeerListing,
     PeersListed,
     RevisionConfirmed,
     ServerListing,
@@ -34,6 +33,8 @@
 from ..platform.settings import Bounds, PlatformSettings
 from ..platform.store import Item, PlatformStore, Reading
 from ..verdict import Failure
+from .entries import EntryReader, decode_guarded
+from .failures import FailureLog
 from .ticker import Ticker
 
 LOG = logbook.Logger("rhubarbspan.store")
@@ -49,6 +50,8 @@
 INSTANCES_PAUSE_S = 1.0
 RETRY_DELAY_S = 0.25
 BACKUP_RETRY_DELAY_S = 2.0
+# Pause after an unexpected error; an error that repeats must not use up the calls.
+ERROR_DELAY_S = 1.0
 # By the platform's documentation, a watch may report a change up to a second late.
 MAX_WATCH_LAG_S = 1.0
 # Largest age of a configuration, as a fraction of the time after which a revoked key
@@ -124,10 +127,11 @@
         "_store",
         "settings",
         "_tasks",
-        "_malformed",
+        "_failures",
         "_mirrors",
         "_access",
         "_servers",
+        "_instances",
         "_translated",
     )
 
@@ -138,10 +142,12 @@
         self._store = store
         self.settings = settings
         self._tasks: set[asyncio.Task[None]] = set()
-        self._malformed: dict[str, bytes | None] = {}
+        count = ticker.world.count
+        self._failures = FailureLog(count, ticker.now_s)
         self._mirrors: dict[str, Mirror] = {}
         self._access = StoreAccess.READER
-        self._servers: dict[str, tuple[bytes | None, ServerListing | Failure]] = {}
+        self._servers = EntryReader(decode_server, self._failures, count)
+        self._instances = EntryReader(decode_instance, self._failures, count)
         self._translated: _Translated | None = None
 
     def start(self) -> None:
@@ -182,8 +188,11 @@
         items = [Item(row.key, row.value, row.is_deleted) for row in update.items]
         reading = Reading(items, update.revision)
         is_full_read = update.after == 0
-        _apply(mirror, reading, is_full_read)
-        self._publish_changes(mirror, reading, is_full_read, None)
+        try:
+            _apply(mirror, reading, is_full_read)
+            self._publish_changes(mirror, reading, is_full_read, None)
+        except Exception:
+            self._read_anew_after_error(mirror)
 
     async def stop(self) -> None:
         """Stop the watches."""
@@ -201,6 +210,20 @@
 
         After a failure all values are read again, since changes may have been missed.
         """
+        while True:
+            try:
+                await self._read_changes(mirror)
+            except Exception:
+                self._read_anew_after_error(mirror)
+                await asyncio.sleep(ERROR_DELAY_S)
+
+    def _read_anew_after_error(self, mirror: Mirror) -> None:
+        """Report an unexpected error, after which the copy may be incomplete."""
+        self._failures.report_error(f"reading {mirror.prefix}")
+        mirror.revision = 0
+        mirror.may_read.set()
+
+    async def _read_changes(self, mirror: Mirror) -> None:
         while True:
             await mirror.may_read.wait()
             requested_s = self._ticker.now_s()
@@ -304,7 +327,7 @@
             return
         match self._translate(value):
             case Failure(reason=reason):
-                self._report_malformed(CONFIGURATION_KEY, value, reason)
+                self._failures.report_entry(CONFIGURATION_KEY, reason)
             case TranslatedConfiguration(revision=revision, document=document):
                 state = self._ticker.world.configuration_state
                 confirmed_s = NEVER_S if requested_s is None else requested_s
@@ -323,52 +346,28 @@
         max_age_s = MAX_AGE_FRACTION * self.settings.bounds.revocation_s
         source = (value, self.settings.regions, max_age_s)
         if self._translated is None or self._translated.source != source:
-            result = translate_configuration(*source)
+            result = decode_guarded(
+                lambda: translate_configuration(*source), self._failures
+            )
+            if isinstance(result, Failure):
+                self._ticker.world.count("malformed_records")
             self._translated = _Translated(source, result)
         return self._translated.result
 
-    def _decode_server(self, key: str, value: bytes | None) -> ServerListing | Failure:
-        """Decode a server's record, unless it is the one before."""
-        known = self._servers.get(key)
-        if known is not None and known[0] == value:
-            return known[1]
-        server = decode_server(key, value or b"")
-        self._servers[key] = (value, server)
-        return server
-
     def _publish_servers(self, mirror: Mirror) -> None:
-        for key in self._servers.keys() - mirror.values.keys():
-            del self._servers[key]
+        servers = self._servers.read(mirror.values)
         by_pool: dict[str, list[ServerListing]] = {
             pool: [] for pool in self._ticker.world.configuration.pools
         }
-        for key, value in mirror.values.items():
-            server = self._decode_server(key, value)
-            if isinstance(server, Failure):
-                self._report_malformed(key, value, server.reason)
-            else:
-                by_pool.setdefault(server.pool, []).append(server)
-        for pool, servers in by_pool.items():
-            self._ticker.inputs.on_next(ServersListed(pool, servers))
+        for server in servers:
+            by_pool.setdefault(server.pool, []).append(server)
+        for pool, listed in by_pool.items():
+            self._ticker.inputs.on_next(ServersListed(pool, listed))
 
     def _publish_instances(self, mirror: Mirror) -> None:
-        peers: list[PeerListing] = []
-        for key, value in mirror.values.items():
-            peer = decode_instance(key, value or b"")
-            if isinstance(peer, Failure):
-                self._report_malformed(key, value, peer.reason)
-            else:
-                peers.append(peer)
+        peers = self._instances.read(mirror.values)
         self._ticker.inputs.on_next(PeersListed(peers))
 
-    def _report_malformed(self, key: str, value: bytes | None, reason: str) -> None:
-        """Log each value that cannot be parsed once."""
-        if key in self._malformed and self._malformed[key] == value:
-            return
-        self._malformed[key] = value
-        self._ticker.world.count("malformed_records")
-        LOG.warning("{}: {}", key, reason)
-
 
 def _apply(mirror: Mirror, reading: Reading, is_full_read: bool) -> None:
     if is_full_read:
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from rhubarbspan.edge import feed as feed_module
+from rhubarbspan.edge.entries import EntryReader
 from rhubarbspan.edge.feed import Feed, Mirror
 from rhubarbspan.effects import SendPeerMessage, StoreAccess
 from rhubarbspan.inputs import (
@@ -380,7 +380,7 @@
 # Decoding all records at each reading took most of an instance's processor time where
 # there are hundreds of servers.
 def test_reading_without_changes_only_says_that_the_list_is_current(
-    feed: Feed, monkeypatch: pytest.MonkeyPatch
+    feed: Feed,
 ) -> None:
     decoded: list[str] = []
 
@@ -388,8 +388,8 @@
         decoded.append(key)
         return ServerListing(key, "shop", "x:1", "a-1")
 
-    monkeypatch.setattr(feed_module, "decode_server", decode)
     ticker = feed._ticker
+    feed._servers = EntryReader(decode, feed._failures, ticker.world.count)
     items = [StoreItem(f"servers/{number}", b"1") for number in range(3)]
     feed.apply_update(_update(0, 10, *items))
     ticker.time_s = 6.0  # type: ignore[attr-defined]
--- a/tests/test_unreadable_entries.py
+++ b/tests/test_unreadable_entries.py
@@ -2,10 +2,15 @@
 
 import asyncio
 import json
+from collections import Counter
 
+import logbook
 import pytest
 
 from platform_site import PlatformSite
+from rhubarbspan.edge.entries import EntryReader
+from rhubarbspan.edge.failures import N_MAX_REPORTED, REPEAT_S, FailureLog
+from rhubarbspan.edge.feed import Feed, Mirror
 from rhubarbspan.platform.configuration import translate_configuration
 from rhubarbspan.platform.records import decode_instance, decode_server
 from rhubarbspan.record_checks import is_ip_and_port
@@ -192,3 +197,103 @@
 @pytest.mark.parametrize("value", UNREADABLE_CONFIGURATIONS, ids=lambda v: repr(v[:60]))
 def test_unreadable_configuration_is_a_failure(value: bytes) -> None:
     assert isinstance(translate_configuration(value, {"a-1": "a"}, 4.0), Failure)
+
+
+class Clock:
+    """A clock that a test sets, with counters."""
+
+    def __init__(self) -> None:
+        self.time_s = 0.0
+        self.counts: Counter[tuple[str, str]] = Counter()
+
+    def now_s(self) -> float:
+        """Return the time that was set."""
+        return self.time_s
+
+    def count(self, name: str, label: str = "") -> None:
+        """Count one."""
+        self.counts[name, label] += 1
+
+
+@pytest.fixture
+def clock() -> Clock:
+    """Return a clock at 0."""
+    return Clock()
+
+
+@pytest.fixture
+def failures(clock: Clock) -> FailureLog:
+    """Return a log of failures that uses the clock."""
+    return FailureLog(clock.count, clock.now_s)
+
+
+def test_unreadable_entry_is_logged_once_a_minute_whatever_its_value(
+    clock: Clock, failures: FailureLog
+) -> None:
+    reader = EntryReader(decode_server, failures, clock.count)
+    with logbook.TestHandler() as log:
+        for step in range(481):
+            clock.time_s = step * 0.25
+            value = b"{" * (1 + step)
+            reader.read({"servers/a\n": value, "servers/b": record()})
+    assert len(log.records) == 3
+    for row in log.records:
+        assert row.message.startswith("entry 'servers/a\\n': ")
+    assert clock.counts["malformed_records", ""] == 481
+
+
+def test_memory_and_lines_for_unreadable_entries_are_bounded(
+    clock: Clock, failures: FailureLog
+) -> None:
+    with logbook.TestHandler() as log:
+        for step in range(10):
+            clock.time_s = step * REPEAT_S / 10
+            for position in range(5 * N_MAX_REPORTED):
+                failures.report_entry(f"servers/{position}", "x" * 10**6)
+    assert len(log.records) == len(failures._reported_s) == N_MAX_REPORTED
+    assert max(len(row.message) for row in log.records) < 600
+
+
+# The other entries were lost with it, and so was the task that read them.
+def test_unexpected_error_in_a_decoder_costs_that_entry(
+    clock: Clock, failures: FailureLog
+) -> None:
+    def decode(key: str, value: bytes) -> str:
+        if value == b"odd":
+            raise ZeroDivisionError
+        return key
+
+    reader = EntryReader(decode, failures, clock.count)
+    with logbook.TestHandler() as log:
+        assert reader.read({"a": b"1", "b": b"odd", "c": b"2", "d": None}) == ["a", "c"]
+    assert "ZeroDivisionError" in "".join(
+        row.formatted_exception or "" for row in log.records
+    )
+    assert clock.counts["task_failures", "decoding an entry"] == 1
+
+
+@pytest.mark.parametrize("prefix", ["servers/", "op/", "rhubarbspan/instances/"])
+def test_reading_goes_on_after_an_unexpected_error(
+    deployed: PlatformSite, monkeypatch: pytest.MonkeyPatch, prefix: str
+) -> None:
+    site = deployed
+    (instance,) = site.instances
+    feed = instance._feed
+    publish, n_errors = feed._publish, 0
+
+    def fail_twice(mirror: Mirror, requested_s: float | None) -> None:
+        nonlocal n_errors
+        if mirror.prefix == prefix and n_errors < 2:
+            n_errors += 1
+            raise ZeroDivisionError
+        publish(mirror, requested_s)
+
+    monkeypatch.setattr(Feed, "_publish", lambda feed, *rest: fail_twice(*rest))
+    site.run(site.deployment.add_server())
+    site.run(site.add_instance("front-a-2"))
+    site.store.put("op/evacuate/b-1", b"")
+    site.wait_for(lambda: n_errors == 2, "two errors")
+    site.wait_for(lambda: len(instance.world.servers.rows()) == 3, "servers")
+    site.wait_for(lambda: "b-1" in instance.world.evacuated, "evacuations")
+    site.wait_for(lambda: instance.world.peers.get("front-a-2"), "instances")
+    assert instance.world.counters["task_failures", f"reading {prefix}"] > 0
