Forget a server of an unknown service with its entry

The lists of servers are delivered for the services of the configuration and those of current entries. An entry that named another service left its row behind when it went: no list without it was ever delivered. Once a configuration named that service, the row got requests until the next reading.

The services of all known rows are listed now, without servers if there are none left. test_server_of_an_unknown_service_goes_with_its_entry failed on the code before.

--- a/src/rhubarbspan/edge/feed.py
+++ b/src/rhubarbspan/edge/feed.py
@@ -356,9 +356,14 @@
 
     def _publish_servers(self, mirror: Mirror) -> None:
         servers = self._servers.read(mirror.values)
-        by_pool: dict[str, list[ServerListing]] = {
-            pool: [] for pool in self._ticker.world.configuration.pools
-        }
+        world = self._ticker.world
+        # A service that is in no configuration has to be listed without servers once
+        # it has lost them.
+        pools = [
+            *world.configuration.pools,
+            *(row.pool for row in world.servers.rows()),
+        ]
+        by_pool: dict[str, list[ServerListing]] = {pool: [] for pool in pools}
         for server in servers:
             by_pool.setdefault(server.pool, []).append(server)
         for pool, listed in by_pool.items():
--- a/tests/test_unreadable_entries.py
+++ b/tests/test_unreadable_entries.py
@@ -297,3 +297,15 @@
     site.wait_for(lambda: "b-1" in instance.world.evacuated, "evacuations")
     site.wait_for(lambda: instance.world.peers.get("front-a-2"), "instances")
     assert instance.world.counters["task_failures", f"reading {prefix}"] > 0
+
+
+# Its row stayed for good once the entry was gone.
+def test_server_of_an_unknown_service_goes_with_its_entry(
+    deployed: PlatformSite,
+) -> None:
+    site = deployed
+    world = site.instances[0].world
+    site.store.put("servers/i-odd", record(instanceInfo__service="nowhere"))
+    site.wait_for(lambda: world.servers.get("i-odd"), "it is known")
+    site.store.delete("servers/i-odd")
+    site.wait_for(lambda: world.servers.get("i-odd") is None, "it is gone")
