Let a malformed item cost no other item of its page

An item of the store with a field of another type made the whole page or event malformed, so that nothing under its prefix was heard of while it was there. Items are decoded one by one; one with a key but no value that can be read counts as an unreadable entry.

Six of the seven cases of test_item_that_is_malformed_costs_no_other failed before (the seventh, invalid Base64, was handled).

--- a/src/rhubarbspan/platform/store.py
+++ b/src/rhubarbspan/platform/store.py
@@ -9,6 +9,7 @@
 
 from ..keyvalue import STORE_DOWN, STORE_GARBAGE, STORE_UNCLEAR
 from ..verdict import Failure
+from .records import DECODE_ERRORS
 
 T = TypeVar("T")
 MS_PER_S = 1000
@@ -33,15 +34,20 @@
     tombstone: bool = False
 
 
+class _KeyOnly(msgspec.Struct):
+    key: str
+
+
 class _Range(msgspec.Struct):
-    items: list[_Item] = []
+    # Decoded one by one, so that one that cannot be read does not cost the page.
+    items: list[msgspec.Raw] = []
     # Revision of the whole store, not of the latest item.
     currentRev: int = 0
     morePages: bool = False
 
 
 class _Events(msgspec.Struct):
-    events: list[_Item] = []
+    events: list[msgspec.Raw] = []
     currentRev: int = 0
 
 
@@ -54,8 +60,8 @@
     """A key and its value.
 
     Attributes:
-        value: The decoded bytes, or None if the key was deleted or its value is not
-            valid Base64.
+        value: The decoded bytes, or None if the key was deleted or its value cannot be
+            read.
         is_deleted: Whether the key was deleted.
     """
 
@@ -72,7 +78,17 @@
     revision: int
 
 
-def _to_item(item: _Item) -> Item:
+def _to_items(rows: list[msgspec.Raw]) -> list[Item]:
+    """Decode items one by one, without those whose key cannot be read."""
+    items = (_to_item(row) for row in rows)
+    return [item for item in items if item is not None]
+
+
+def _to_item(row: msgspec.Raw) -> Item | None:
+    item = _decode(row, _Item)
+    if isinstance(item, Failure):
+        named = _decode(row, _KeyOnly)
+        return None if isinstance(named, Failure) else Item(named.key, None)
     if item.tombstone:
         return Item(item.key, None, True)
     try:
@@ -115,10 +131,13 @@
             if isinstance(page, Failure):
                 return page
             first_revision = first_revision or page.currentRev
-            items += [_to_item(item) for item in page.items]
+            page_items = _to_items(page.items)
+            items += page_items
             if not page.morePages or not page.items:
                 return Reading(items, first_revision)
-            after = page.items[-1].key
+            if not page_items or page_items[-1].key == after:
+                return Failure(STORE_GARBAGE, "kv-range: the next page has no start")
+            after = page_items[-1].key
 
     async def watch(
         self, prefix: str, revision: int, wait_s: float, may_be_stale: bool = False
@@ -139,8 +158,7 @@
         events = _decode(body, _Events)
         if isinstance(events, Failure):
             return events
-        items = [_to_item(item) for item in events.events]
-        return Reading(items, max(revision, events.currentRev))
+        return Reading(_to_items(events.events), max(revision, events.currentRev))
 
     async def open_lease(self, ttl_s: float) -> int | Failure:
         """Open a lease and return its number; its keys are removed when it ends."""
@@ -212,8 +230,8 @@
     return Failure(STORE_GARBAGE, f"{path}: status {status}")
 
 
-def _decode(body: bytes, kind: type[T]) -> T | Failure:
+def _decode(body: bytes | msgspec.Raw, kind: type[T]) -> T | Failure:
     try:
         return msgspec.json.decode(body, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return Failure(STORE_GARBAGE, str(error))
--- a/tests/test_unreadable_entries.py
+++ b/tests/test_unreadable_entries.py
@@ -14,6 +14,7 @@
 from rhubarbspan.platform.configuration import translate_configuration
 from rhubarbspan.platform.records import decode_instance, decode_server
 from rhubarbspan.record_checks import is_ip_and_port
+from rhubarbspan.standins import platform_store
 from rhubarbspan.verdict import Failure
 
 DRAIN_S = 2.5
@@ -309,3 +310,38 @@
     site.wait_for(lambda: world.servers.get("i-odd"), "it is known")
     site.store.delete("servers/i-odd")
     site.wait_for(lambda: world.servers.get("i-odd") is None, "it is gone")
+
+
+# The page or the event that contained it was lost with all others in it.
+@pytest.mark.parametrize(
+    "odd",
+    [
+        {"value": 7},
+        {"value": "no Base64!"},
+        {"value": None},
+        {"key": None},
+        {"key": 5, "value": []},
+        {"revision": "x"},
+        {"tombstone": "yes"},
+    ],
+    ids=str,
+)
+def test_item_that_is_malformed_costs_no_other(
+    deployed: PlatformSite, monkeypatch: pytest.MonkeyPatch, odd: dict[str, object]
+) -> None:
+    site = deployed
+    encode = platform_store._item_fields
+
+    def encode_odd(item: platform_store.StoredItem) -> dict[str, object]:
+        return {**encode(item), **(odd if item.key == "servers/i-odd" else {})}
+
+    monkeypatch.setattr(platform_store, "_item_fields", encode_odd)
+    site.store.put("servers/i-odd", record())
+    site.run(site.deployment.add_server())
+    (instance,) = site.instances
+    site.wait_for(lambda: instance.world.servers.get("i-2"), "the watch goes on")
+    started = site.run(site.add_instance("front-a-2"))
+    site.wait_for(lambda: started.world.servers.get("i-2"), "the range is read")
+    for world in (instance.world, started.world):
+        assert world.servers.get("i-odd") is None
+        assert not [n for n, _ in world.counters if n == "store_failures"]
