Let an odd message of a peer cost itself alone

A frame or message with deep nesting, also in a field that this version skips, raised RecursionError: the stream ended, and the messages behind it were lost. NaN and infinity reached the systems. A handover could name servers whose address is no IP address and port, or whose identifier is no header value, and a heartbeat addresses that need a name look-up. And numbers of a message could hold for good: a configuration confirmed for the time to come, a member heard of in the time to come, the promise of a reading in 10^12 s, after which an instance never read the store itself.

Decoding bounds each float of a message (MAX_NUMBER) and returns a failure for any error. Unusable servers and addresses are taken out of a message before the tick; the checks are those of the store's records. Systems bound what they compute with: MAX_PROMISE_S, MAX_COLD_S, and no time after the present one.

--- a/src/rhubarbspan/edge/peers.py
+++ b/src/rhubarbspan/edge/peers.py
@@ -8,6 +8,7 @@
 
 from ..effects import SendPeerMessage
 from ..inputs import PeerMessageReceived
+from ..record_checks import without_unusable
 from ..verdict import Failure
 from ..wire.peer import (
     MAX_MESSAGE_BYTES,
@@ -149,4 +150,4 @@
         if isinstance(message, Failure):
             self._ticker.world.count("peer_messages_malformed")
             return
-        self._ticker.inputs.on_next(PeerMessageReceived(message))
+        self._ticker.inputs.on_next(PeerMessageReceived(without_unusable(message)))
--- a/src/rhubarbspan/record_checks.py
+++ b/src/rhubarbspan/record_checks.py
@@ -6,17 +6,22 @@
 
 import ipaddress
 import math
+from dataclasses import replace
+from functools import lru_cache
 
 from .inputs import PeerListing, ServerListing
+from .peer_messages import Heartbeat, KnownServer, PeerMessage, ServerHandover
 
 MAX_PORT = 65535
 # An IPv6 address in brackets and a port need 47 characters.
 MAX_ADDRESS_LENGTH = 47
 MAX_ID_LENGTH = 200
 MAX_SLOTS = 10_000
-MAX_COLD_S = 86_400.0
+# As long as a service may be cold by its configuration.
+MAX_COLD_S = 3600.0
 # Largest integer that each encoding of messages and logs can represent.
 MAX_INTEGER = 2**63 - 1
+N_MAX_KNOWN_ADDRESSES = 4096
 
 
 def is_ip_and_port(text: str) -> bool:
@@ -30,10 +35,14 @@
         >>> is_ip_and_port("localhost:80"), is_ip_and_port("127.0.0.1:70000")
         (False, False)
     """
-    if len(text) > MAX_ADDRESS_LENGTH or not text.isascii():
-        return False
+    return len(text) <= MAX_ADDRESS_LENGTH and _is_ip_and_port(text)
+
+
+# Peers tell their addresses in each heartbeat.
+@lru_cache(N_MAX_KNOWN_ADDRESSES)
+def _is_ip_and_port(text: str) -> bool:
     host, _, port = text.rpartition(":")
-    if not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+    if not text.isascii() or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
         return False
     is_bracketed = host.startswith("[") and host.endswith("]")
     try:
@@ -86,3 +95,34 @@
     if not is_ip_and_port(peer.peer_address) or not is_ip_and_port(peer.address):
         return "an address is not an IP address and a port"
     return ""
+
+
+def to_listing(server: KnownServer) -> ServerListing:
+    """Return what a peer knows of a server as if it were listed."""
+    return ServerListing(
+        server.server_id,
+        server.pool,
+        server.address,
+        server.data_centre,
+        False,
+        server.n_slots,
+        server.incarnation,
+        server.cold_s,
+        server.sequence,
+    )
+
+
+def without_unusable(message: PeerMessage) -> PeerMessage:
+    """Return a peer's message without the servers and addresses that cannot be used."""
+    match message:
+        case ServerHandover(servers=rows):
+            usable = [row for row in rows if not find_server_problem(to_listing(row))]
+            return replace(message, servers=usable)
+        case Heartbeat(address=address, peer_address=peer_address):
+            return replace(
+                message,
+                address=address if is_ip_and_port(address) else "",
+                peer_address=peer_address if is_ip_and_port(peer_address) else "",
+            )
+        case _:
+            return message
--- a/src/rhubarbspan/systems/health.py
+++ b/src/rhubarbspan/systems/health.py
@@ -20,6 +20,7 @@
     Timer,
 )
 from ..peer_messages import Heartbeat
+from ..record_checks import MAX_COLD_S
 from ..tables.servers import ServerRow
 from ..world import World
 from .slots import N_PROBES_TO_FAIL, assign_servers
@@ -177,7 +178,7 @@
     for server_id, remaining_s in refusing_s.items():
         row = world.servers.get(server_id)
         if row is not None:
-            until_s = now_s + remaining_s
+            until_s = now_s + min(remaining_s, MAX_COLD_S)
             row.refused_until_s = max(row.refused_until_s, until_s)
             row.cold_until_s = max(row.cold_until_s, until_s)
 
--- a/src/rhubarbspan/systems/revisions.py
+++ b/src/rhubarbspan/systems/revisions.py
@@ -138,7 +138,8 @@
     if heartbeat.revision == state.snapshot.revision:
         confirmed_s = _confirmed_by_peer_s(world, heartbeat)
         if confirmed_s is not None:
-            state.confirmed_s = max(state.confirmed_s, confirmed_s)
+            # No message of a peer tells of the time to come.
+            state.confirmed_s = max(state.confirmed_s, min(confirmed_s, now_s))
     if heartbeat.revision <= state.snapshot.revision:
         return []
     if now_s - state.requested_s < REQUEST_INTERVAL_S:
--- a/src/rhubarbspan/systems/server_handover.py
+++ b/src/rhubarbspan/systems/server_handover.py
@@ -6,7 +6,7 @@
 """
 
 from ..effects import Effects, LogChange, LogLevel, SendPeerMessage
-from ..inputs import Inbox, PeerMessageReceived, ServerListing
+from ..inputs import Inbox, PeerMessageReceived
 from ..peer_messages import Heartbeat, KnownServer, ServerHandover
 from ..policies import (
     LeastInFlight,
@@ -15,6 +15,7 @@
     RandomChoice,
     TwoChoices,
 )
+from ..record_checks import to_listing
 from ..world import World
 from .health import add_server, apply_record
 
@@ -85,17 +86,7 @@
     world.evacuated = world.evacuated | frozenset(handover.evacuated)
     effects: Effects = []
     for server in handover.servers:
-        listing = ServerListing(
-            server.server_id,
-            server.pool,
-            server.address,
-            server.data_centre,
-            False,
-            server.n_slots,
-            server.incarnation,
-            server.cold_s,
-            server.sequence,
-        )
+        listing = to_listing(server)
         add_server(world, now_s, listing)
         row = world.servers.get(server.server_id)
         if row is not None:
--- a/src/rhubarbspan/systems/store_readers.py
+++ b/src/rhubarbspan/systems/store_readers.py
@@ -23,6 +23,8 @@
 # comes before in the order in which they begin to read.
 READER_MARGIN_S = 0.6
 TAKEOVER_STEP_S = 0.25
+# Longest time for which a reader's promise of its next reading is relied on.
+MAX_PROMISE_S = 60.0
 
 
 def share_store_reads(world: World, now_s: float, inbox: Inbox) -> Effects:
@@ -38,7 +40,7 @@
         match received.message:
             case StoreUpdate() as update:
                 if not update.is_stale:
-                    due_s = now_s + update.next_within_s
+                    due_s = now_s + min(update.next_within_s, MAX_PROMISE_S)
                     world.store_updates_due_s[update.prefix] = due_s
                 effects.append(ApplyStoreUpdate(update))
     if inbox.due(Timer.HEARTBEAT):
--- a/src/rhubarbspan/systems/summaries.py
+++ b/src/rhubarbspan/systems/summaries.py
@@ -118,7 +118,7 @@
     own = world.identity
     if summary.data_centre == own.data_centre:
         return []
-    as_of_s = now_s - summary.age_s
+    as_of_s = now_s - max(0.0, summary.age_s)
     effects = _update_members(world, as_of_s, summary)
     row = world.data_centres.get_or_create(summary.data_centre)
     if summary.is_complete and as_of_s >= row.as_of_s:
@@ -162,7 +162,7 @@
             row.incarnation = member.incarnation
             row.sequence = 0
             row.started_s = as_of_s - member.uptime_s
-        heard_s = as_of_s - member.silent_s
+        heard_s = as_of_s - max(0.0, member.silent_s)
         row.is_summarised = row.is_summarised or heard_s > row.last_heard_s
         row.last_heard_s = max(row.last_heard_s, heard_s)
         row.revision = max(row.revision, member.revision)
--- a/src/rhubarbspan/wire/peer.py
+++ b/src/rhubarbspan/wire/peer.py
@@ -1,7 +1,7 @@
 """Encodes messages between instances as MessagePack arrays, without field names."""
 
 import dataclasses
-from typing import Any, get_args, get_type_hints
+from typing import Annotated, Any, get_args, get_type_hints
 
 import msgspec
 
@@ -13,6 +13,13 @@
 MESSAGE_TYPES: tuple[type[Any], ...] = get_args(PeerMessage)
 NUMBER_BY_TYPE = {data_class: number for number, data_class in enumerate(MESSAGE_TYPES)}
 MAX_MESSAGE_BYTES = 4_000_000
+# Times, rates and counts of peers stay far below it. The range also excludes infinity
+# and NaN, with which systems could not compute.
+MAX_NUMBER = 1e15
+# Deep nesting exceeds the interpreter's recursion limit, even in fields that are
+# skipped.
+DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
+_BoundedFloat = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 
 
 def _struct_of(data_class: type[Any], structs: dict[type[Any], type[Any]]) -> type[Any]:
@@ -44,7 +51,9 @@
 
 
 def _struct_annotation(hint: Any, structs: dict[type[Any], type[Any]]) -> Any:
-    """Replace data classes in an annotation, also in lists and optional types."""
+    """Replace data classes and floats in an annotation, also in generic types."""
+    if hint is float:
+        return _BoundedFloat
     if dataclasses.is_dataclass(hint) and isinstance(hint, type):
         return _struct_of(hint, structs)
     arguments = get_args(hint)
@@ -52,6 +61,9 @@
         return hint
     if getattr(hint, "__origin__", None) is list:
         return list[_struct_annotation(arguments[0], structs)]  # type: ignore[misc]
+    if getattr(hint, "__origin__", None) is dict:
+        keys, values = (_struct_annotation(item, structs) for item in arguments)
+        return dict[keys, values]  # type: ignore[valid-type]
     if type(None) in arguments:
         return _struct_annotation(arguments[0], structs) | None
     return hint
@@ -90,7 +102,7 @@
             row, MESSAGE_TYPES[number], from_attributes=True
         )
         return message
-    except (msgspec.MsgspecError, ValueError) as error:
+    except DECODE_ERRORS as error:
         return Failure("malformed-message", str(error))
 
 
@@ -108,5 +120,5 @@
     """Split a frame into its encoded messages."""
     try:
         return msgspec.msgpack.decode(data, type=list[bytes])
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return Failure("malformed-frame", str(error))
