Keep the edge's tasks going after an unexpected error

Looked for: which tasks one error could end for good, unnoticed. Four of them could.

- Stream to an instance: only gRPC's own error was caught.
After any other one nothing was sent to that instance any more; its queue filled, and messages were dropped.
- Registration: the record went with its lease, and was not written again.
- Watch of the settings: SIGHUP and changes of the file had no effect any more.
- Effects: one that failed cost all later ones of its tick, such as starts of requests, and counted as a failed tick.

Each goes on now, counts the error as task_failures by name, and logs it with its traceback at most once a minute for the same place. Look-ups and the readiness check have no task of their own: an error there is a status of 500 for that one request.

Besides, a message of megabytes was joined with the others of its frame, and the receiver refused them all. Frames are closed at a size now, and a message that no frame can hold is dropped and counted.

tests/test_edge_tasks.py on the code before: each of its tests failed (test_large_message_costs_no_other by the new argument of the stream).

--- a/src/rhubarbspan/edge/failures.py
+++ b/src/rhubarbspan/edge/failures.py
@@ -1,5 +1,6 @@
 """Reports failures of long-lived tasks and of single entries, each of them seldom."""
 
+import sys
 from collections.abc import Callable
 
 import logbook
@@ -37,7 +38,7 @@
             task: What has failed. It goes on, so that nothing else would tell of it.
         """
         self._count("task_failures", task)
-        if self._is_due(task):
+        if self._is_due(f"{task} {_current_place()}"):
             LOG.exception("{} failed and goes on", task)
 
     def _is_due(self, key: str) -> bool:
@@ -54,3 +55,13 @@
             return False
         self._reported_s[key] = now_s
         return True
+
+
+def _current_place() -> str:
+    """Return the type of the exception being handled, and where it was raised."""
+    kind, _, trace = sys.exc_info()
+    while trace is not None and trace.tb_next is not None:
+        trace = trace.tb_next
+    if kind is None or trace is None:
+        return ""
+    return f"{kind.__name__} {trace.tb_frame.f_code.co_name}:{trace.tb_lineno}"
--- a/src/rhubarbspan/edge/instance.py
+++ b/src/rhubarbspan/edge/instance.py
@@ -33,6 +33,7 @@
 from ..policies import DemandShares, ObjectPlacement, Policies
 from ..verdict import Failure
 from ..world import Identity, create_world
+from .failures import FailureLog
 from .feed import Feed, max_listing_gap_s
 from .front import Front
 from .lines import LineHandler, LineWriter
@@ -135,7 +136,8 @@
         self._store = PlatformStore(settings.store)
         # Watches the store for configuration and for registrations.
         self._feed = Feed(self.ticker, self._store, settings)
-        self._registration = Registration(self._store, settings)
+        failures = FailureLog(self.world.count, clock)
+        self._registration = Registration(self._store, settings, failures)
 
     async def start(self) -> Failure | None:
         """Listen and start the tasks.
@@ -300,6 +302,18 @@
 
 async def _watch_settings(path: str, instance: Instance, reload: asyncio.Event) -> None:
     """Reload the settings after SIGHUP or a change; keep the old ones if invalid."""
+    failures = FailureLog(instance.world.count, instance.ticker.now_s)
+    while True:
+        try:
+            await _reload_on_change(path, instance, reload)
+        except Exception:
+            failures.report_error("watch of the settings")
+            await asyncio.sleep(SETTINGS_POLL_INTERVAL_S)
+
+
+async def _reload_on_change(
+    path: str, instance: Instance, reload: asyncio.Event
+) -> None:
     modified_ns = _modified_ns(path)
     current_settings = instance.settings
     while True:
--- a/src/rhubarbspan/edge/peers.py
+++ b/src/rhubarbspan/edge/peers.py
@@ -17,12 +17,17 @@
     encode_frame,
     encode_message,
 )
+from .failures import FailureLog
 from .ticker import Ticker
 
 SERVICE = "rhubarbspan.Peer"
 METHOD = "Send"
 RECONNECT_DELAY_S = 0.5
 N_MAX_QUEUED_MESSAGES = 1000
+# Frames are closed at this size, which leaves room for one more message of any size
+# that is sent.
+MAX_JOINED_BYTES = MAX_MESSAGE_BYTES // 4
+MAX_SENT_BYTES = MAX_MESSAGE_BYTES // 2
 OPTIONS = [
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
@@ -37,10 +42,11 @@
 class PeerStream:
     """The stream of messages to one instance; messages may be lost."""
 
-    __slots__ = ("address", "_queue", "_task")
+    __slots__ = ("address", "_failures", "_queue", "_task")
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, failures: FailureLog) -> None:
         self.address = address
+        self._failures = failures
         self._queue: asyncio.Queue[bytes] = asyncio.Queue(N_MAX_QUEUED_MESSAGES)
         self._task = asyncio.create_task(self._run())
 
@@ -58,6 +64,21 @@
         await asyncio.gather(self._task, return_exceptions=True)
 
     async def _run(self) -> None:
+        while True:
+            try:
+                await self._run_channel()
+            except asyncio.CancelledError:
+                task = asyncio.current_task()
+                if task is None or task.cancelling():
+                    raise
+                # The call was cancelled by its library, and not this task.
+                self._failures.report_error("stream to an instance")
+            except Exception:
+                self._failures.report_error("stream to an instance")
+            self._drop_queued()
+            await asyncio.sleep(RECONNECT_DELAY_S)
+
+    async def _run_channel(self) -> None:
         async with grpc.aio.insecure_channel(self.address, options=OPTIONS) as channel:
             send = channel.stream_unary(f"/{SERVICE}/{METHOD}")
             while True:
@@ -68,11 +89,13 @@
                 await asyncio.sleep(RECONNECT_DELAY_S)
 
     async def _frames(self) -> AsyncIterator[bytes]:
-        """Yield frames, each with all messages queued by then."""
+        """Yield frames, each with the messages queued by then, up to a size."""
         while True:
             messages = [await self._queue.get()]
-            while not self._queue.empty():
+            n_bytes = len(messages[0])
+            while not self._queue.empty() and n_bytes < MAX_JOINED_BYTES:
                 messages.append(self._queue.get_nowait())
+                n_bytes += len(messages[-1])
             yield encode_frame(messages)
 
     def _drop_queued(self) -> None:
@@ -84,10 +107,11 @@
 class PeerTransport:
     """Sends messages to other instances and receives theirs."""
 
-    __slots__ = ("_ticker", "_server", "_streams", "n_bytes_sent")
+    __slots__ = ("_ticker", "_failures", "_server", "_streams", "n_bytes_sent")
 
     def __init__(self, ticker: Ticker) -> None:
         self._ticker = ticker
+        self._failures = FailureLog(ticker.world.count, ticker.now_s)
         self._server: grpc.aio.Server | None = None
         self._streams: dict[str, PeerStream] = {}
         self.n_bytes_sent = 0
@@ -123,14 +147,14 @@
             asyncio.get_running_loop().create_task(stream.close())
             stream = None
         if stream is None:
-            stream = PeerStream(row.peer_address)
+            stream = PeerStream(row.peer_address, self._failures)
             self._streams[effect.seat] = stream
         data = encode_message(effect.message)
         self.n_bytes_sent += len(data)
         world = self._ticker.world
         world.count("peer_messages_sent", type(effect.message).__name__)
         world.count("peer_bytes_sent", "", len(data))
-        if not stream.send(data):
+        if len(data) > MAX_SENT_BYTES or not stream.send(data):
             world.count("peer_messages_dropped")
 
     async def _receive(
--- a/src/rhubarbspan/edge/registration.py
+++ b/src/rhubarbspan/edge/registration.py
@@ -9,6 +9,7 @@
 from ..platform.settings import PlatformSettings
 from ..platform.store import PlatformStore
 from ..verdict import Failure
+from .failures import FailureLog
 
 LOG = logbook.Logger("rhubarbspan.store")
 # The record of a crashed instance stays for this long; peers notice the crash sooner,
@@ -20,11 +21,14 @@
 class Registration:
     """Writes the record, renews its lease, and rewrites it if the lease is lost."""
 
-    __slots__ = ("_store", "_settings", "_task", "_lease")
+    __slots__ = ("_store", "_settings", "_failures", "_task", "_lease")
 
-    def __init__(self, store: PlatformStore, settings: PlatformSettings) -> None:
+    def __init__(
+        self, store: PlatformStore, settings: PlatformSettings, failures: FailureLog
+    ) -> None:
         self._store = store
         self._settings = settings
+        self._failures = failures
         self._task: asyncio.Task[None] | None = None
         self._lease = 0
 
@@ -42,7 +46,11 @@
 
     async def _run(self) -> None:
         while True:
-            failure = await self._renew_or_write()
+            try:
+                failure = await self._renew_or_write()
+            except Exception:
+                self._failures.report_error("registration")
+                failure = Failure("unexpected", "unexpected error")
             if failure is not None:
                 LOG.info("could not write or renew the own record: {}", failure.reason)
                 self._lease = 0
--- a/src/rhubarbspan/edge/ticker.py
+++ b/src/rhubarbspan/edge/ticker.py
@@ -3,15 +3,13 @@
 import asyncio
 from collections.abc import Callable
 
-import logbook
 from reactivex import Subject
 
-from ..effects import Effect
+from ..effects import Effect, Effects
 from ..inputs import Input
 from ..tick import run_tick
 from ..world import World
-
-LOG = logbook.Logger("rhubarbspan")
+from .failures import FailureLog
 
 
 class Ticker:
@@ -27,6 +25,7 @@
         "world",
         "inputs",
         "effects",
+        "_failures",
         "_clock",
         "_loop",
         "_pending",
@@ -41,6 +40,7 @@
         self.inputs: Subject[Input] = Subject()
         self.effects: Subject[Effect] = Subject()
         self._clock = clock
+        self._failures = FailureLog(world.count, clock)
         self._loop = asyncio.get_running_loop()
         self._pending: list[Input] = []
         self._is_scheduled = False
@@ -79,15 +79,24 @@
         self._pending = []
         self.n_ticks += 1
         try:
-            for effect in run_tick(self.world, self._clock(), inputs):
-                self.effects.on_next(effect)
+            effects: Effects = run_tick(self.world, self._clock(), inputs)
         except Exception:
             # An error in one tick must not stop the instance. Later ticks still run,
             # and requests that this one left unfinished end at their deadlines.
             self.world.count("tick_failures")
-            LOG.exception("a tick failed")
+            self._failures.report_error("tick")
+            effects = []
+        for effect in effects:
+            self._publish(effect)
         self._arm_timer()
 
+    def _publish(self, effect: Effect) -> None:
+        """Publish an effect; an error in carrying it out costs no other effect."""
+        try:
+            self.effects.on_next(effect)
+        except Exception:
+            self._failures.report_error(f"effect {type(effect).__name__}")
+
     def _arm_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- /dev/null
+++ b/tests/test_edge_tasks.py
@@ -0,0 +1,189 @@
+"""Tests of long-lived tasks: an unexpected error costs little, and is told."""
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import logbook
+import pytest
+
+from conftest import build_world, single_document
+from platform_site import PlatformSite
+from rhubarbspan.edge import instance as instance_module
+from rhubarbspan.edge import peers as peers_module
+from rhubarbspan.edge.failures import FailureLog
+from rhubarbspan.edge.peers import MAX_JOINED_BYTES, MAX_SENT_BYTES, PeerStream
+from rhubarbspan.edge.ticker import Ticker
+from rhubarbspan.effects import Effect, LogChange, LogLevel, SendPeerMessage
+from rhubarbspan.peer_messages import StoreItem, StoreUpdate
+from rhubarbspan.platform.store import PlatformStore
+from rhubarbspan.verdict import Failure
+from rhubarbspan.wire.peer import decode_frame
+
+TIMEOUT_S = 8.0
+
+
+def failing_first(n_errors: int, function: Callable[..., Any]) -> Callable[..., Any]:
+    """Return a function that raises an unexpected error in its first calls."""
+    n_calls = 0
+
+    def call(*arguments: Any, **options: Any) -> Any:
+        nonlocal n_calls
+        n_calls += 1
+        if n_calls <= n_errors:
+            raise ZeroDivisionError
+        return function(*arguments, **options)
+
+    return call
+
+
+# The requests that the same tick started were lost with it.
+def test_effect_that_fails_costs_no_other_effect(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    effects = [LogChange(LogLevel.INFO, text) for text in ("one", "odd", "two")]
+    monkeypatch.setattr(
+        "rhubarbspan.edge.ticker.run_tick", lambda world, now_s, inputs: effects
+    )
+    seen: list[str] = []
+
+    def execute(effect: Effect) -> None:
+        assert isinstance(effect, LogChange)
+        if effect.text == "odd":
+            raise ZeroDivisionError
+        seen.append(effect.text)
+
+    async def work() -> Ticker:
+        ticker = Ticker(build_world(single_document()), lambda: 200.0)
+        ticker.effects.subscribe(on_next=execute)
+        for _ in range(2):
+            ticker.start()
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+        ticker.stop()
+        return ticker
+
+    with logbook.TestHandler() as log:
+        ticker = asyncio.run(work())
+    assert seen == ["one", "two"] * ticker.n_ticks
+    assert ticker.world.counters["task_failures", "effect LogChange"] > 0
+    (line,) = [row for row in log.records if "effect LogChange" in row.message]
+    assert "ZeroDivisionError" in line.formatted_exception
+
+
+# Nothing was sent to that instance any more.
+@pytest.mark.parametrize("name", ["encode_frame", "grpc.aio.insecure_channel"])
+def test_stream_to_an_instance_goes_on_after_an_unexpected_error(
+    deployed: PlatformSite, monkeypatch: pytest.MonkeyPatch, name: str
+) -> None:
+    site = deployed
+    target = f"{peers_module.__name__}.{name}"
+    function: Any = peers_module
+    for part in name.split("."):
+        function = getattr(function, part)
+    monkeypatch.setattr(target, failing_first(2, function))
+    site.run(site.add_instance("front-a-2"))
+    for here, there in ((0, "front-a-2"), (1, "front-a-1")):
+        world = site.instances[here].world
+        site.wait_for(
+            lambda world=world, there=there: (
+                (row := world.peers.get(there)) is not None and row.is_alive
+            ),
+            "both hear each other",
+        )
+
+
+# One megabytes large took all messages of its frame with it.
+def test_large_message_costs_no_other() -> None:
+    async def work() -> list[int]:
+        stream = PeerStream("127.0.0.1:1", FailureLog(lambda name, label: None, float))
+        await stream.close()
+        small, large = b"s" * 1000, b"l" * MAX_SENT_BYTES
+        for data in [small, large, small, *[small] * 900]:
+            assert stream.send(data)
+        sizes, n_messages, frames = [], 0, stream._frames()
+        while n_messages < 903:
+            frame = await anext(frames)
+            messages = decode_frame(frame)
+            assert not isinstance(messages, Failure)
+            n_messages += len(messages)
+            sizes.append(len(frame))
+        return sizes
+
+    sizes = asyncio.run(work())
+    assert len(sizes) > 1
+    assert max(sizes) < MAX_JOINED_BYTES + MAX_SENT_BYTES + 10_000
+    assert max(sizes) < peers_module.MAX_MESSAGE_BYTES
+
+
+def test_message_that_is_too_large_to_receive_is_not_sent(
+    deployed: PlatformSite,
+) -> None:
+    site = deployed
+    site.run(site.add_instance("front-a-2"))
+    first = site.instances[0]
+    site.wait_for(lambda: first.world.peers.get("front-a-2"), "it is known")
+    item = StoreItem("servers/i-9", b"x" * (MAX_SENT_BYTES + 1))
+    update = StoreUpdate("servers/", 0, 1, [item], 1.0)
+    n_before = first.world.counters["peer_messages_dropped", ""]
+
+    async def work() -> None:
+        first._peers.send(SendPeerMessage("front-a-2", update))
+
+    site.run(work())
+    assert first.world.counters["peer_messages_dropped", ""] == n_before + 1
+
+
+# The record was gone once its lease ended.
+def test_registration_goes_on_after_an_unexpected_error(
+    deployed: PlatformSite, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    site = deployed
+    renew = failing_first(1, PlatformStore.renew_lease)
+    monkeypatch.setattr(PlatformStore, "renew_lease", renew)
+    (instance,) = site.instances
+
+    async def work() -> None:
+        async with asyncio.timeout(TIMEOUT_S):
+            while not instance.world.counters["task_failures", "registration"]:
+                await asyncio.sleep(0.05)
+            n_renewals = site.store.n_calls.get("kv-keep", 0)
+            while site.store.n_calls.get("kv-keep", 0) == n_renewals:
+                await asyncio.sleep(0.05)
+
+    site.run(work())
+    assert "rhubarbspan/instances/front-a-1" in site.store.items
+
+
+# SIGHUP and changes of the file had no effect any more.
+def test_settings_are_watched_after_an_unexpected_error(
+    deployed: PlatformSite, monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    site = deployed
+    (instance,) = site.instances
+    n_loads = 0
+
+    def load(path: str) -> Failure:
+        nonlocal n_loads
+        n_loads += 1
+        if n_loads == 1:
+            raise ZeroDivisionError
+        return Failure("settings", "not valid")
+
+    monkeypatch.setattr(instance_module, "_load_settings", load)
+    monkeypatch.setattr(instance_module, "SETTINGS_POLL_INTERVAL_S", 0.05)
+
+    async def work() -> None:
+        reload = asyncio.Event()
+        watcher = asyncio.create_task(
+            instance_module._watch_settings(str(tmp_path / "f"), instance, reload)
+        )
+        for _ in range(2):
+            reload.set()
+            await asyncio.sleep(0.3)
+        watcher.cancel()
+
+    site.run(work())
+    assert n_loads == 2
+    assert instance.world.counters["task_failures", "watch of the settings"] == 1
