Refuse settings that cannot be read without ending the process

Deep nesting, an impossible date and a number of thousands of digits raised errors that are not YAMLError: at the start a traceback, later the end of the watch. A bound that is not a finite number, such as NaN, was taken up, with which pauses cannot be computed.

All of these are a failure with one line now; the settings in force stay. The three cases of test_settings_that_cannot_be_read_are_a_failure and the two new ones of test_bad_settings_give_one_line_that_names_the_field failed before.

--- a/src/rhubarbspan/platform/settings.py
+++ b/src/rhubarbspan/platform/settings.py
@@ -1,5 +1,6 @@
 """Reads the YAML settings file that the platform provides to a process."""
 
+import math
 from dataclasses import dataclass, field
 
 import yaml
@@ -154,7 +155,7 @@
     """
     try:
         tree = yaml.safe_load(text)
-    except yaml.YAMLError as error:
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
         return Failure("malformed", f"{file}: {' '.join(str(error).split())}")
     if not isinstance(tree, dict):
         return Failure("malformed", f"{file}: accepted: a table of fields")
@@ -215,7 +216,11 @@
         if target is None:
             continue
         try:
-            found[target] = float(value)
+            number = float(value)
         except ValueError:
+            number = math.nan
+        if not math.isfinite(number):
             reader.reject(f"bounds {name}", value, "a number")
+            continue
+        found[target] = number
     return Bounds(**found)
--- a/tests/test_edge_tasks.py
+++ b/tests/test_edge_tasks.py
@@ -17,6 +17,7 @@
 from rhubarbspan.edge.ticker import Ticker
 from rhubarbspan.effects import Effect, LogChange, LogLevel, SendPeerMessage
 from rhubarbspan.peer_messages import StoreItem, StoreUpdate
+from rhubarbspan.platform.settings import read_platform_settings
 from rhubarbspan.platform.store import PlatformStore
 from rhubarbspan.verdict import Failure
 from rhubarbspan.wire.peer import decode_frame
@@ -187,3 +188,13 @@
     site.run(work())
     assert n_loads == 2
     assert instance.world.counters["task_failures", "watch of the settings"] == 1
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["a: " + "[" * 3000, "a: 2001-99-99", "a: " + "9" * 5000],
+    ids=["nesting", "date", "digits"],
+)
+def test_settings_that_cannot_be_read_are_a_failure(text: str) -> None:
+    failure = read_platform_settings(text, "f.yaml")
+    assert isinstance(failure, Failure)
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -116,6 +116,8 @@
         ("zones: {a-1", "places: {a-1", "zones"),
         ("heartbeatS: 1.5", "heartbeatS: -1", "heartbeatS"),
         ('"drainS=3"', '"drainS=soon"', "bounds drainS"),
+        ('"drainS=3"', '"drainS=nan"', "bounds drainS"),
+        ('"drainS=3"', '"drainS=1e400"', "bounds drainS"),
         ('address: "127.0.0.1:8669"', "", "platform.address"),
     ],
 )
