Pass names of the operator's configuration through as they are

Callers saw: a tenant whose name has a capital letter, a space or more than 56 characters reached servers as a hash in X-Tenant-Name. A service with such a name had no servers, since their records name it as it is, and a zone no region, so that its servers got nothing.

Cause: names became titles of the internal document, of which only 64 of a-z 0-9 - _ . are valid; others were replaced by their hash, and the hash was then taken for the name.

Change: a section may have a full name beside its title (option `name`); the configuration is built with it, while references inside the document use titles. Titles stay valid.

A tenant whose name can be no header value (controls, empty, spaces at an end, over 1000 characters) is left out with a line, and requests with its keys are refused; the others are served. A service of such a name is told in a line.

--- a/src/rhubarbspan/checking.py
+++ b/src/rhubarbspan/checking.py
@@ -18,7 +18,7 @@
     add_client_block,
 )
 from .document import Document
-from .sections import OPTIONS, Problem, SectionReader
+from .sections import FULL_NAME, OPTIONS, Problem, SectionReader, is_full_name
 
 KEY_HASH_LENGTH = 64
 MAX_RATE_PER_S = 1_000_000.0
@@ -50,7 +50,7 @@
     _read_accounts(configuration, readers, problems)
     _read_pools_routes_and_limits(configuration, readers)
     _read_shifts_and_drains(configuration, readers)
-    _check_path_prefixes(configuration, problems)
+    _check_path_prefixes(configuration, readers, problems)
     return configuration, problems
 
 
@@ -58,6 +58,7 @@
     document: Document, problems: list[Problem]
 ) -> dict[str, dict[str, SectionReader]]:
     readers: dict[str, dict[str, SectionReader]] = {kind: {} for kind in OPTIONS}
+    names: dict[tuple[str, str], str] = {}
     for title, body in document.items():
         kind, _, name = title.partition(" ")
         if kind not in OPTIONS:
@@ -72,10 +73,23 @@
             if key not in options:
                 accepted = "one of " + ", ".join(options)
                 problems.append(Problem(title, key, body[key], accepted))
-        readers[kind][name] = SectionReader(title, body, problems, options)
+        reader = SectionReader(title, body, problems, options)
+        _check_full_name(reader, names)
+        readers[kind][name] = reader
     return readers
 
 
+def _check_full_name(reader: SectionReader, names: dict[tuple[str, str], str]) -> None:
+    """Check a section's full name, and that no other section of its kind has it."""
+    if not is_full_name(reader.name):
+        reader.reject(FULL_NAME.key, reader.name, FULL_NAME.accepted)
+    kind = reader.title.partition(" ")[0]
+    owner = names.setdefault((kind, reader.name), reader.title)
+    if owner != reader.title:
+        accepted = f"a name that [{owner}] does not have"
+        reader.reject(FULL_NAME.key, reader.name, accepted)
+
+
 def _read_data_centres(
     configuration: Configuration,
     readers: dict[str, dict[str, SectionReader]],
@@ -86,7 +100,8 @@
         configuration.blocks = known.blocks
         _read_links(configuration, readers)
         return
-    for name, reader in readers["data_centre"].items():
+    for reader in readers["data_centre"].values():
+        name = reader.name
         blocks = reader.items("client_blocks")
         is_decommissioned = reader.flag("gone")
         n_seats = reader.integer("seats", 0, 1000)
@@ -135,7 +150,8 @@
     readers: dict[str, dict[str, SectionReader]],
     problems: list[Problem],
 ) -> None:
-    for name, reader in readers["client_account"].items():
+    for reader in readers["client_account"].values():
+        name = reader.name
         rate = reader.number("rate_per_s", 0.0, MAX_RATE_PER_S)
         burst = reader.integer("burst", 1, int(MAX_RATE_PER_S))
         hashes = reader.items("key_hashes")
@@ -159,19 +175,21 @@
 def _read_pools_routes_and_limits(
     configuration: Configuration, readers: dict[str, dict[str, SectionReader]]
 ) -> None:
-    for name, reader in readers["pool"].items():
-        configuration.pools[name] = Pool(
-            name,
+    pools = {title: reader.name for title, reader in readers["pool"].items()}
+    for reader in readers["pool"].values():
+        configuration.pools[reader.name] = Pool(
+            reader.name,
             reader.integer("slots_per_server", 1, 10_000),
             reader.integer("connections_per_server", 1, 100_000),
             reader.integer("max_queued", 0, 100_000),
             reader.number("ramp_s", 0, 3600),
             reader.number("cold_rate_per_s", 0, MAX_RATE_PER_S),
         )
-    for name, reader in readers["route"].items():
-        configuration.routes[name] = Route(
-            name,
-            reader.reference("pool", set(configuration.pools), "pool"),
+    for reader in readers["route"].values():
+        pool = reader.reference("pool", set(pools), "pool")
+        configuration.routes[reader.name] = Route(
+            reader.name,
+            pools.get(pool, pool),
             reader.text("path_prefix"),
             reader.choice("kind", RouteKind),
             reader.flag("open"),
@@ -184,7 +202,7 @@
             reader.integer("priority", 0, MAX_PRIORITY),
             reader.items("regions"),
             reader.flag("affinity"),
-            _read_split(reader, set(configuration.pools)),
+            _read_split(reader, pools),
         )
     for reader in readers["limits"].values():
         configuration.caller_limits = CallerLimits(
@@ -196,9 +214,14 @@
 
 
 def _read_split(
-    reader: SectionReader, pools: set[str]
+    reader: SectionReader, pools: dict[str, str]
 ) -> tuple[tuple[str, float], ...]:
-    """Read the pools of a split route with their weights."""
+    """Read the pools of a split route with their weights.
+
+    Args:
+        reader: The route.
+        pools: Full names of the pools by the names in their titles.
+    """
     weighted_pools: list[tuple[str, float]] = []
     for item in reader.items("split"):
         pool, _, text = item.partition("=")
@@ -209,7 +232,7 @@
         if pool not in pools or not 0 <= weight <= MAX_RATE_PER_S:
             reader.reject("split", item, "the name of a pool, = and a weight")
             return ()
-        weighted_pools.append((pool, weight))
+        weighted_pools.append((pools[pool], weight))
     if weighted_pools and not sum(weight for _, weight in weighted_pools) > 0:
         reader.reject("split", reader.text("split"), "a weight above 0")
     return tuple(weighted_pools)
@@ -219,10 +242,12 @@
     configuration: Configuration, readers: dict[str, dict[str, SectionReader]]
 ) -> None:
     regions = set(configuration.regions())
+    pools = {title: reader.name for title, reader in readers["pool"].items()}
     for name, reader in readers["shift"].items():
+        pool = reader.reference("pool", set(pools), "pool")
         shift = Shift(
             name,
-            reader.reference("pool", set(configuration.pools), "pool"),
+            pools.get(pool, pool),
             reader.reference("from_region", regions, "region"),
             reader.reference("to_region", regions, "region"),
             reader.number("cap_requests_per_s", 0, MAX_RATE_PER_S),
@@ -242,11 +267,16 @@
         configuration.drains[name] = Drain(name, kind, target)
 
 
-def _check_path_prefixes(configuration: Configuration, problems: list[Problem]) -> None:
+def _check_path_prefixes(
+    configuration: Configuration,
+    readers: dict[str, dict[str, SectionReader]],
+    problems: list[Problem],
+) -> None:
+    titles = {reader.name: reader.title for reader in readers["route"].values()}
     owners: dict[tuple[str, str], str] = {}
     for route in configuration.routes.values():
         prefix = route.path_prefix
-        title = f"route {route.name}"
+        title = titles[route.name]
         if not prefix.startswith("/") or prefix == "/-" or prefix.startswith("/-/"):
             accepted = "a path that starts with /, except /-/"
             problems.append(Problem(title, "path_prefix", prefix, accepted))
--- a/src/rhubarbspan/edge/feed.py
+++ b/src/rhubarbspan/edge/feed.py
@@ -351,6 +351,9 @@
             )
             if isinstance(result, Failure):
                 self._ticker.world.count("malformed_records")
+            else:
+                for part, reason in result.refused.items():
+                    self._failures.report_entry(f"{CONFIGURATION_KEY}: {part}", reason)
             self._translated = _Translated(source, result)
         return self._translated.result
 
--- a/src/rhubarbspan/platform/configuration.py
+++ b/src/rhubarbspan/platform/configuration.py
@@ -1,12 +1,13 @@
 """Translates the platform's JSON configuration into a configuration document."""
 
 import hashlib
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 
 from ..document import Document, Section
 from ..record_checks import MAX_INTEGER
+from ..sections import FULL_NAME, is_full_name
 from ..verdict import Failure
 from .records import DECODE_ERRORS
 
@@ -86,10 +87,15 @@
 
 @dataclass(frozen=True, slots=True)
 class TranslatedConfiguration:
-    """A configuration of the platform as a document, with its revision."""
+    """A configuration of the platform as a document, with its revision.
+
+    Attributes:
+        refused: Reason for each part that cannot be used as it is.
+    """
 
     revision: int
     document: Document
+    refused: dict[str, str] = field(default_factory=dict)
 
 
 def translate_configuration(
@@ -108,51 +114,73 @@
     """
     try:
         decoded = _DECODER.decode(value)
+        refused = _refuse_names(decoded)
         document = _to_document(decoded, regions, max_age_s)
     except (*DECODE_ERRORS, ArithmeticError) as error:
         return Failure("malformed", f"configuration: {error}")
     if not 0 < decoded.version <= MAX_INTEGER:
         return Failure("malformed", f"version: accepted: 1 to {MAX_INTEGER}")
-    return TranslatedConfiguration(decoded.version, document)
+    return TranslatedConfiguration(decoded.version, document, refused)
 
 
 def _to_document(
     decoded: _Configuration, regions: dict[str, str], max_age_s: float
 ) -> Document:
-    document: Document = {
-        f"data_centre {_valid_name(zone)}": {"region": region, "seats": "0"}
-        for zone, region in regions.items()
-    }
+    document: Document = {}
+    for zone, region in regions.items():
+        _add(document, "data_centre", zone, {"region": region, "seats": "0"})
     for service in decoded.services:
-        document[f"pool {_valid_name(service.name)}"] = _translate_service(service)
+        _add(document, "pool", service.name, _translate_service(service))
     for tenant in decoded.tenants or []:
-        document[f"client_account {_valid_name(tenant.name)}"] = _translate_tenant(
-            tenant
-        )
+        _add(document, "client_account", tenant.name, _translate_tenant(tenant))
     needs_keys = decoded.tenants is not None
     for host in decoded.hosts:
         for path in host.paths:
-            title = _unused_title(
-                document, f"route {_valid_name(path.name or path.prefix)}"
-            )
             section = _translate_path(host.host, path, needs_keys, max_age_s)
-            document[title] = section
+            _add_route(document, path.name or path.prefix, section)
     document["limits callers"] = _translate_limits(decoded.limits)
     return document
 
 
-def _unused_title(document: Document, title: str) -> str:
-    number = 2
-    candidate = title
-    while candidate in document:
-        candidate = f"{title}.{number}"
+def _refuse_names(decoded: _Configuration) -> dict[str, str]:
+    """Remove the tenants whose names cannot be told to servers, and say what is unfit.
+
+    Requests with their keys are refused; the others are served.
+    """
+    refused = {
+        f"service {service.name}": "no server can have a service of this name"
+        for service in decoded.services
+        if not is_full_name(service.name)
+    }
+    for tenant in list(decoded.tenants or []):
+        if decoded.tenants and not is_full_name(tenant.name):
+            decoded.tenants.remove(tenant)
+            reason = "left out, since the name cannot be the value of a header"
+            refused[f"tenant {tenant.name}"] = reason
+    return refused
+
+
+def _add(document: Document, kind: str, name: str, section: Section) -> None:
+    """Add a section with a valid title, and with the name where the title lacks it."""
+    title_name = _valid_name(name)
+    if title_name != name and is_full_name(name):
+        section[FULL_NAME.key] = name
+    document[f"{kind} {title_name}"] = section
+
+
+def _add_route(document: Document, name: str, section: Section) -> None:
+    """Add a route; those with the same name are numbered."""
+    number = 1
+    numbered = name
+    while f"route {_valid_name(numbered)}" in document:
         number += 1
-    return candidate
+        numbered = f"{name}.{number}"
+    _add(document, "route", numbered, section)
 
 
 def _valid_name(text: str) -> str:
     """Return a text if it is valid as a name in a document, otherwise its hash."""
-    if 0 < len(text) <= MAX_NAME_LENGTH - 8 and not set(text) - NAME_CHARACTERS:
+    if 0 < len(text) <= MAX_NAME_LENGTH and not set(text) - NAME_CHARACTERS:
         return text
     return hashlib.sha256(text.encode()).hexdigest()[:32]
 
--- a/src/rhubarbspan/sections.py
+++ b/src/rhubarbspan/sections.py
@@ -8,6 +8,7 @@
 from .document import Section
 
 EnumType = TypeVar("EnumType", bound=Enum)
+MAX_FULL_NAME_LENGTH = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +52,9 @@
         )
 
 
+FULL_NAME = Option(
+    "name", "1 to 1000 characters, no controls, or nothing for the title's name", ""
+)
 OPTIONS: dict[str, tuple[Option, ...]] = {
     "route": (
         Option("pool", "the name of a pool", None),
@@ -67,6 +71,7 @@
         Option("regions", "regions separated by commas, or nothing for all", ""),
         Option("affinity", "yes or no", "no"),
         Option("split", "POOL=WEIGHT pairs separated by commas", ""),
+        FULL_NAME,
     ),
     "pool": (
         Option("slots_per_server", "1 to 10000", "3"),
@@ -74,6 +79,7 @@
         Option("max_queued", "0 to 100000", "200"),
         Option("ramp_s", "0 to 3600 seconds", "10"),
         Option("cold_rate_per_s", "0 to 1000000 requests per second", "1000000"),
+        FULL_NAME,
     ),
     "client_account": (
         Option("rate_per_s", "0 to 1000000 requests per second", None),
@@ -81,12 +87,14 @@
         Option("key_hashes", "SHA-256 hashes in hexadecimal, separated by commas", ""),
         Option("priority", "-1 to 1000, 0 first, -1 for the route's", "-1"),
         Option("regions", "regions separated by commas, or nothing for all", ""),
+        FULL_NAME,
     ),
     "data_centre": (
         Option("region", "a name", None),
         Option("seats", "0 to 1000", "1"),
         Option("gone", "yes or no", "no"),
         Option("client_blocks", "IP networks separated by commas", ""),
+        FULL_NAME,
     ),
     "link": (
         Option("regions", "two regions separated by a comma", None),
@@ -122,6 +130,11 @@
     problems: list[Problem]
     options: dict[str, Option] = field(default_factory=dict)
 
+    @property
+    def name(self) -> str:
+        """The full name, which is the title's unless the section has another."""
+        return self.body.get(FULL_NAME.key) or self.title.partition(" ")[2]
+
     def text(self, key: str) -> str:
         """Return a value or its default; record a problem if there is neither."""
         option = self.options[key]
@@ -203,3 +216,15 @@
         if text and text not in known:
             self.reject(key, text, f"the name of an existing {kind}")
         return text
+
+
+def is_full_name(text: str) -> bool:
+    """Return whether a text can be a section's full name, and a header's value.
+
+    Example:
+        >>> is_full_name("Shop & Co"), is_full_name("a" + chr(10)), is_full_name(" a")
+        (True, False, False)
+    """
+    if not 0 < len(text) <= MAX_FULL_NAME_LENGTH or text != text.strip():
+        return False
+    return not any(char < " " or char == "\x7f" for char in text)
--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import json
 import random
 
 import pytest
@@ -14,8 +15,10 @@
 from rhubarbspan.standins.platform_deployment import (
     KEY,
     Reply,
+    configuration_document,
     read_reply,
     request_bytes,
+    server_record,
 )
 from rhubarbspan.standins.platform_server import Fault
 
@@ -497,3 +500,25 @@
     _assert_own(reply, "/order/1")
     assert reply.headers["connection"] == "close"
     assert rest == b""
+
+
+# Servers got a hash as the tenant's name; a service with such a name had no servers.
+def test_names_with_capitals_reach_servers_as_they_are(site: PlatformSite) -> None:
+    (instance,) = site.instances
+    name = "Ana Mar\u00eda & Co, " + "x" * 60
+    text = json.dumps(configuration_document(2)).replace('shop"', 'Shop Two"')
+    document = json.loads(text)
+    tenant = {"name": name, "apiKeys": [KEY], "ratePerS": 1000, "burst": 1000}
+    document["tenants"] = [tenant, {"name": "a\r\nb", "apiKeys": ["other"]}]
+    site.store.put("op/config", document)
+    for server in site.servers:
+        site.store.put(
+            f"servers/{server.server_id}", server_record(server, "Shop Two", sequence=2)
+        )
+    site.wait_for(lambda: len(instance.world.servers.of_pool("Shop Two")) == 2, "moved")
+    site.wait_for(lambda: name in instance.world.configuration.client_accounts, "known")
+    site.run(asyncio.sleep(1.0))
+    assert site.send("/look/x").status == 200
+    headers = site.servers[0].requests or site.servers[1].requests
+    assert headers[-1][2][b"x-tenant-name"] == name.encode()
+    assert site.send("/look/y", X_Credential="other").status == 401
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -198,6 +198,67 @@
     assert "k" not in str(translated.document).split("'")
 
 
+ODD_NAMES = [
+    "Ana",
+    "ana maria & co",
+    "n" * 57,
+    "n" * 99,
+    "a,b=c",
+    "\u00e9t\u00e9",
+    "x]",
+]
+
+
+# Servers got a hash as the name of the tenant, and services had no servers.
+@pytest.mark.parametrize("name", ODD_NAMES)
+def test_names_go_through_as_they_are(name: str) -> None:
+    path = {"name": name, "prefix": "/r/", "kind": "safe", "service": name}
+    split = [{"service": name, "weight": 1}, {"service": "s", "weight": 1}]
+    second_path = {"name": name, "prefix": "/", "split": split}
+    value = manifest(
+        services=[{"name": name}, {"name": "s"}],
+        tenants=[{"name": name, "apiKeys": ["k"]}],
+        hosts=[{"host": "h", "paths": [path, second_path]}],
+    )
+    translated = translate_configuration(value, {name: "region"}, 4.0)
+    assert isinstance(translated, TranslatedConfiguration)
+    assert not translated.refused
+    configuration, problems = check_document(translated.document, translated.revision)
+    assert not problems
+    assert configuration.account_by_key_hash == {hash_key("k"): name}
+    assert set(configuration.pools) == {name, "s"}
+    assert set(configuration.routes) == {name, f"{name}.2"}
+    assert configuration.routes[name].pool == name
+    assert configuration.routes[f"{name}.2"].parts == ((name, 1.0), ("s", 1.0))
+    assert configuration.region_of(name) == "region"
+    assert set(configuration.client_accounts) == {name}
+
+
+@pytest.mark.parametrize("name", ["a\r\nX-Forged: b", "", " ", "a\x00", "x" * 1001])
+def test_tenant_that_cannot_be_named_in_a_header_is_left_out_alone(name: str) -> None:
+    tenants = [{"name": name, "apiKeys": ["bad"]}, {"name": "t", "apiKeys": ["k"]}]
+    translated = translate_configuration(manifest(tenants=tenants), REGIONS, 4.0)
+    assert isinstance(translated, TranslatedConfiguration)
+    assert list(translated.refused) == [f"tenant {name}"]
+    configuration, problems = check_document(translated.document, translated.revision)
+    assert not problems
+    assert configuration.account_by_key_hash == {hash_key("k"): "t"}
+    assert not configuration.routes["r"].is_open
+
+
+def test_full_name_must_be_fit_for_a_header_and_unique() -> None:
+    document = {
+        "client_account a": {"rate_per_s": "1", "burst": "1", "name": "x\ny"},
+        "client_account b": {"rate_per_s": "1", "burst": "1", "name": "c"},
+        "client_account c": {"rate_per_s": "1", "burst": "1"},
+    }
+    _, problems = check_document(document)
+    assert [problem.section for problem in problems] == [
+        "client_account a",
+        "client_account c",
+    ]
+
+
 def test_no_tenants_means_that_no_keys_are_needed() -> None:
     value = json.loads(manifest())
     del value["tenants"]
