Write the own record only over what was there before

Seen with the stand-in of the store: a registration gets no response; the next one, under a new lease, succeeds; then the first is executed and moves the record to its own lease, which nobody renews. The record goes with that lease, while the renewals of the new one succeed, so that it isn't written again: the instance is missing on the list for as long as it runs.

Cause: the record was written whatever was there before.

Change: the instance reads under which revision and lease its record is, and writes it only over that revision (0 if there is none). A call that is executed late changes nothing that was written after it. Besides, each tenth renewal a stale read, a tenth of the price, checks that the record is under the lease that is renewed; otherwise it is written again. The stand-in reads single keys and can execute a transaction late without a response.

--- a/src/rhubarbspan/edge/registration.py
+++ b/src/rhubarbspan/edge/registration.py
@@ -7,7 +7,7 @@
 from ..inputs import PeerListing
 from ..platform.records import INSTANCE_PREFIX, encode_instance
 from ..platform.settings import PlatformSettings
-from ..platform.store import PlatformStore
+from ..platform.store import CONFLICT, PlatformStore
 from ..verdict import Failure
 from .failures import FailureLog
 
@@ -16,12 +16,16 @@
 # since its heartbeats stop.
 LEASE_TTL_S = 6.0
 RENEW_INTERVAL_S = 2.0
+# Renewals between two checks that the record is under the lease that is renewed.
+N_RENEWALS_PER_CHECK = 10
+# Attempts to write the record in a row, while other writes of it come between.
+N_MAX_WRITES = 3
 
 
 class Registration:
     """Writes the record, renews its lease, and rewrites it if the lease is lost."""
 
-    __slots__ = ("_store", "_settings", "_failures", "_task", "_lease")
+    __slots__ = ("_store", "_settings", "_failures", "_task", "_lease", "_n_renewals")
 
     def __init__(
         self, store: PlatformStore, settings: PlatformSettings, failures: FailureLog
@@ -31,6 +35,7 @@
         self._failures = failures
         self._task: asyncio.Task[None] | None = None
         self._lease = 0
+        self._n_renewals = 0
 
     def start(self) -> None:
         """Start the task that maintains the record."""
@@ -58,17 +63,51 @@
 
     async def _renew_or_write(self) -> Failure | None:
         if self._lease:
-            return await self._store.renew_lease(self._lease)
+            failure = await self._store.renew_lease(self._lease)
+            return failure or await self._check_sometimes(self._lease)
         lease = await self._store.open_lease(
             max(LEASE_TTL_S, self._settings.lease_min_s)
         )
         if isinstance(lease, Failure):
             return lease
+        failure = await self._write(lease)
+        self._lease = 0 if failure else lease
+        return failure
+
+    async def _check_sometimes(self, lease: int) -> Failure | None:
+        """Write the record again if it is not under the lease, now and then."""
+        self._n_renewals += 1
+        if self._n_renewals % N_RENEWALS_PER_CHECK:
+            return None
+        holding = await self._store.read_holding(self._key, may_be_stale=True)
+        if isinstance(holding, Failure):
+            # The next renewal tells whether the store can be reached.
+            LOG.info("could not check the own record: {}", holding.reason)
+            return None
+        return None if holding.lease == lease else await self._write(lease)
+
+    async def _write(self, lease: int) -> Failure | None:
+        """Write the record unless it is under the lease.
+
+        An earlier write whose response was lost may be executed at any time.
+        """
         settings = self._settings
         record = PeerListing(
             settings.name, settings.peer_listen, settings.listen, settings.data_centre
         )
-        key = INSTANCE_PREFIX + settings.name
-        failure = await self._store.put(key, encode_instance(record), lease)
-        self._lease = 0 if failure else lease
+        value = encode_instance(record)
+        failure: Failure | None = None
+        for _ in range(N_MAX_WRITES):
+            holding = await self._store.read_holding(self._key)
+            if isinstance(holding, Failure):
+                return holding
+            if holding.lease == lease:
+                return None
+            failure = await self._store.put(self._key, value, lease, holding.revision)
+            if failure is None or failure.code != CONFLICT:
+                return failure
         return failure
+
+    @property
+    def _key(self) -> str:
+        return INSTANCE_PREFIX + self._settings.name
--- a/src/rhubarbspan/platform/store.py
+++ b/src/rhubarbspan/platform/store.py
@@ -17,7 +17,7 @@
 # milliseconds, but may be two regions away.
 CALL_TIMEOUT_S = 0.8
 HISTORY_GONE = "history-gone"
-LEASE_GONE = "lease-gone"
+NOT_THERE = "not-there"
 CONFLICT = "conflict"
 HTTP_OK = 200
 NOT_FOUND = 404
@@ -55,6 +55,11 @@
     lease: int
 
 
+class _Holding(msgspec.Struct):
+    revision: int
+    lease: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Item:
     """A key and its value.
@@ -78,6 +83,14 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class Holding:
+    """The revision of a key's last change, 0 if there is no such key, and its lease."""
+
+    revision: int
+    lease: int
+
+
 def _to_items(rows: list[msgspec.Raw]) -> list[Item]:
     """Decode items one by one, without those whose key cannot be read."""
     items = (_to_item(row) for row in rows)
@@ -178,11 +191,38 @@
         body = await self._call("DELETE", f"kv-lease-end/{lease}", {})
         return body if isinstance(body, Failure) else None
 
-    async def put(self, key: str, value: bytes, lease: int) -> Failure | None:
-        """Write a key under a lease, whatever its current value."""
+    async def read_holding(
+        self, key: str, may_be_stale: bool = False
+    ) -> Holding | Failure:
+        """Read under which lease a key is; stale reads cost a tenth."""
+        query = {"key": key, **({"staleOk": "1"} if may_be_stale else {})}
+        body = await self._call("GET", "kv-key", query)
+        if isinstance(body, Failure):
+            return Holding(0, 0) if body.code == NOT_THERE else body
+        found = _decode(body, _Holding)
+        if isinstance(found, Failure):
+            return found
+        return Holding(found.revision, found.lease)
+
+    async def put(
+        self, key: str, value: bytes, lease: int, expected_revision: int
+    ) -> Failure | None:
+        """Write a key under a lease if its last change is still the expected one.
+
+        A call without a response may be executed later. With the condition it then
+        changes nothing that was written after it.
+
+        Args:
+            key: The key.
+            value: The value.
+            lease: The lease that the key is removed with.
+            expected_revision: Revision of the key's last change, or 0 if it must not
+                exist.
+        """
         text = base64.b64encode(value).decode()
         put = {"key": key, "value": text, "lease": lease}
-        change = {"expectedRevision": [], "puts": [put], "deletes": []}
+        expected = [{"key": key, "revision": expected_revision}]
+        change = {"expectedRevision": expected, "puts": [put], "deletes": []}
         body = await self._call("POST", "kv-txn", {}, json=change)
         return body if isinstance(body, Failure) else None
 
@@ -224,7 +264,7 @@
             f"{path}: the store no longer keeps the changes after that revision",
         )
     if status == NOT_FOUND:
-        return Failure(LEASE_GONE, f"{path}: there is no such lease")
+        return Failure(NOT_THERE, f"{path}: there is no such lease or key")
     if status == PRECONDITION_FAILED:
         return Failure(CONFLICT, f"{path}: the condition does not hold")
     return Failure(STORE_GARBAGE, f"{path}: status {status}")
--- a/src/rhubarbspan/standins/platform_store.py
+++ b/src/rhubarbspan/standins/platform_store.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Any
 
 from aiohttp import web
 
@@ -42,6 +43,8 @@
     Attributes:
         mode: How calls are handled.
         loses_responses: Whether writes take effect but get no response.
+        late_write_s: If set, the next transaction gets no response and is executed
+            this much later, if its condition still holds.
         first_revision: Oldest revision from which a watch can start.
         history: Changes since the first revision.
         leases: Timer of each lease that has not expired.
@@ -53,6 +56,7 @@
     address: str = ""
     mode: Mode = Mode.SERVING
     loses_responses: bool = False
+    late_write_s: float = 0.0
     revision: int = 10
     first_revision: int = 0
     items: dict[str, StoredItem] = field(default_factory=dict)
@@ -67,6 +71,7 @@
         """Start to listen on loopback."""
         application = web.Application(middlewares=[self._apply_mode])
         router = application.router
+        router.add_get("/api/kv-key", self._read_key)
         router.add_get("/api/kv-range", self._range)
         router.add_get("/api/kv-watch", self._watch)
         router.add_post("/api/kv-txn", self._transact)
@@ -160,8 +165,22 @@
             except TimeoutError:
                 continue
 
+    async def _read_key(self, request: web.Request) -> web.Response:
+        item = self.items.get(request.query["key"])
+        if item is None:
+            return web.Response(status=404)
+        fields = {**_item_fields(item), "currentRev": self.revision}
+        return web.json_response(fields)
+
     async def _transact(self, request: web.Request) -> web.Response:
         body = await request.json()
+        if self.late_write_s:
+            delay_s, self.late_write_s = self.late_write_s, 0.0
+            asyncio.get_running_loop().call_later(delay_s, self._apply, body)
+            await asyncio.sleep(3600)
+        return self._apply(body)
+
+    def _apply(self, body: dict[str, Any]) -> web.Response:
         for row in body["expectedRevision"]:
             item = self.items.get(row["key"])
             if (item.revision if item else 0) != row["revision"]:
