Forget instances that are gone for good

An instance that has been neither on the platform's list nor heard for 60 s is removed from the table, and its stream is closed (ForgetPeer). Those that are listed stay, also when silent; before there is a list from the platform, nobody is removed. One that was only cut off is listed or heard again once it reaches the store or this instance, and taken up as new.

--- a/src/rhubarbspan/edge/daemon.py
+++ b/src/rhubarbspan/edge/daemon.py
@@ -13,6 +13,7 @@
     Effect,
     Exit,
     FinishRequest,
+    ForgetPeer,
     LogChange,
     LogLevel,
     LogRequest,
@@ -143,6 +144,8 @@
                 self._backend.abort(effect)
             case SendPeerMessage():
                 self._peers.send(effect)
+            case ForgetPeer(seat=seat):
+                self._peers.forget(seat)
             case WriteClaim():
                 self._platform.claim(effect)
             case LogRequest(event=event, request=request, fields=fields):
--- a/src/rhubarbspan/edge/instance.py
+++ b/src/rhubarbspan/edge/instance.py
@@ -19,6 +19,7 @@
     Effect,
     Exit,
     FinishRequest,
+    ForgetPeer,
     LogChange,
     LogLevel,
     LogRequest,
@@ -216,6 +217,8 @@
                 self._upstream.abort(effect)
             case SendPeerMessage():
                 self._peers.send(effect)
+            case ForgetPeer(seat=seat):
+                self._peers.forget(seat)
             case SetStoreAccess(access=access):
                 self._feed.set_access(access)
             case ApplyStoreUpdate(update=update):
--- a/src/rhubarbspan/edge/peers.py
+++ b/src/rhubarbspan/edge/peers.py
@@ -107,13 +107,22 @@
 class PeerTransport:
     """Sends messages to other instances and receives theirs."""
 
-    __slots__ = ("_ticker", "_failures", "_server", "_streams", "n_bytes_sent")
+    __slots__ = (
+        "_ticker",
+        "_failures",
+        "_server",
+        "_streams",
+        "_closing",
+        "n_bytes_sent",
+    )
 
     def __init__(self, ticker: Ticker) -> None:
         self._ticker = ticker
         self._failures = FailureLog(ticker.world.count, ticker.now_s)
         self._server: grpc.aio.Server | None = None
         self._streams: dict[str, PeerStream] = {}
+        # The event loop keeps no reference to its tasks.
+        self._closing: set[asyncio.Task[None]] = set()
         self.n_bytes_sent = 0
 
     async def start(self, address: str) -> Failure | None:
@@ -144,7 +153,7 @@
             return
         stream = self._streams.get(effect.seat)
         if stream is not None and stream.address != row.peer_address:
-            asyncio.get_running_loop().create_task(stream.close())
+            self.forget(effect.seat)
             stream = None
         if stream is None:
             stream = PeerStream(row.peer_address, self._failures)
@@ -157,6 +166,14 @@
         if len(data) > MAX_SENT_BYTES or not stream.send(data):
             world.count("peer_messages_dropped")
 
+    def forget(self, seat: str) -> None:
+        """Close the stream to an instance."""
+        stream = self._streams.pop(seat, None)
+        if stream is not None:
+            closing = asyncio.get_running_loop().create_task(stream.close())
+            self._closing.add(closing)
+            closing.add_done_callback(self._closing.discard)
+
     async def _receive(
         self, frames: AsyncIterator[bytes], context: grpc.aio.ServicerContext
     ) -> bytes:
--- a/src/rhubarbspan/effects.py
+++ b/src/rhubarbspan/effects.py
@@ -57,6 +57,13 @@
     message: PeerMessage
 
 
+@dataclass(slots=True)
+class ForgetPeer:
+    """Close the connection to another entry instance, which is gone."""
+
+    seat: str
+
+
 class StoreAccess(Enum):
     """How an instance learns what the store holds."""
 
@@ -141,6 +148,7 @@
     | StartAttempt
     | AbortAttempt
     | SendPeerMessage
+    | ForgetPeer
     | SetStoreAccess
     | ApplyStoreUpdate
     | WriteClaim
--- a/src/rhubarbspan/systems/membership.py
+++ b/src/rhubarbspan/systems/membership.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from ..effects import Effects, LogChange, LogLevel, SendPeerMessage
+from ..effects import Effects, ForgetPeer, LogChange, LogLevel, SendPeerMessage
 from ..inputs import Inbox, PeerMessageReceived, PeersListed, Timer
 from ..peer_messages import AccountDemand, Heartbeat, PoolLoad, SuspectNotice
 from ..policies import (
@@ -35,6 +35,9 @@
 # silent.
 N_SUMMARIES_MISSED = 2
 MIN_DEMAND_PER_S = 0.01
+# An instance that is neither listed nor heard for this long is gone. It is much longer
+# than its demand counts on, and than leases and outages of links usually last.
+PEER_RETENTION_S = 60.0
 # Key of the regular heartbeats; other keys are for unscheduled ones.
 PERIODIC = ""
 
@@ -43,7 +46,7 @@
     """Update the table of peers, and send heartbeats when they are due."""
     effects: Effects = []
     for listed in inbox.of(PeersListed):
-        _update_listing(world, listed)
+        _update_listing(world, now_s, listed)
     for received in inbox.of(PeerMessageReceived):
         match received.message:
             case Heartbeat() as heartbeat:
@@ -52,6 +55,7 @@
     if keys:
         choose_layout(world)
         effects += _mark_silent_peers(world, now_s)
+        effects += _forget_gone_peers(world, now_s)
         effects += _send_heartbeats(world, now_s)
     if PERIODIC in keys:
         world.deadlines.arm(
@@ -69,7 +73,7 @@
     return [row for row in rows if row.peer_address]
 
 
-def _update_listing(world: World, listing: PeersListed) -> None:
+def _update_listing(world: World, now_s: float, listing: PeersListed) -> None:
     own_seat = world.identity.seat
     listed = {peer.seat: peer for peer in listing.peers if peer.seat != own_seat}
     # Seeds from the settings may be incomplete: only the platform's list shows which
@@ -77,20 +81,24 @@
     if not listing.is_seed:
         world.has_peer_list = True
         for row in world.peers.rows():
+            if row.is_listed and row.seat not in listed:
+                row.unlisted_s = now_s
             row.is_listed = row.seat in listed
     for peer in listed.values():
-        row = _get_or_create_row(world, peer.seat, peer.data_centre)
+        row = _get_or_create_row(world, now_s, peer.seat, peer.data_centre)
         row.is_listed = not listing.is_seed
         row.is_listed_leaving = peer.is_leaving
         row.peer_address = peer.peer_address
         row.address = peer.address
 
 
-def _get_or_create_row(world: World, seat: str, data_centre: str) -> PeerRow:
+def _get_or_create_row(
+    world: World, now_s: float, seat: str, data_centre: str
+) -> PeerRow:
     row = world.peers.get(seat)
     if row is None:
         region = world.configuration.region_of(data_centre)
-        row = PeerRow(seat, data_centre, region)
+        row = PeerRow(seat, data_centre, region, unlisted_s=now_s)
         world.peers.add(row)
     if not row.region:
         row.region = world.configuration.region_of(row.data_centre)
@@ -102,7 +110,7 @@
         world.count("heartbeats_with_own_seat")
         return []
     data_centre = heartbeat.data_centre or heartbeat.seat.rpartition("-")[0]
-    row = _get_or_create_row(world, heartbeat.seat, data_centre)
+    row = _get_or_create_row(world, now_s, heartbeat.seat, data_centre)
     if is_outdated(row, heartbeat.incarnation):
         return []
     is_new_incarnation = heartbeat.incarnation != row.incarnation
@@ -162,6 +170,26 @@
     return effects
 
 
+def _forget_gone_peers(world: World, now_s: float) -> Effects:
+    """Remove the instances that have been neither listed nor heard for long.
+
+    Those that could not reach the store or this instance are listed or heard again
+    once they do. Without a list from the platform, none is known to be gone.
+    """
+    if not world.has_peer_list:
+        return []
+    effects: Effects = []
+    for row in world.peers.rows():
+        known_s = max(row.last_heard_s, row.unlisted_s)
+        if row.is_listed or row.is_alive or now_s - known_s <= PEER_RETENTION_S:
+            continue
+        world.peers.remove(row.seat)
+        effects.append(ForgetPeer(row.seat))
+        text = f"instance {row.seat} is forgotten"
+        effects.append(LogChange(LogLevel.INFO, text))
+    return effects
+
+
 def _send_heartbeats(world: World, now_s: float) -> Effects:
     world.heartbeat_sequence += 1
     own = world.identity
--- a/src/rhubarbspan/tables/peers.py
+++ b/src/rhubarbspan/tables/peers.py
@@ -16,6 +16,7 @@
         started_s: When this incarnation started, from the uptime that it reported.
         is_alive: Whether heartbeats arrive in time.
         is_listed: Whether the platform's list of instances contains it.
+        unlisted_s: When that list ceased to contain it, or when it became known.
         is_listed_leaving: Whether that list shows it as leaving.
         is_leaving: Whether its heartbeats report that it is leaving.
         revision: Revision of the configuration that it reported.
@@ -38,6 +39,7 @@
     started_s: float = -1e9
     is_alive: bool = False
     is_listed: bool = False
+    unlisted_s: float = -1e9
     is_listed_leaving: bool = False
     is_leaving: bool = False
     revision: int = 0
