Tell of a configuration without a value, and leave servers of no region alone

Two remains of odd entries:

- An operator's key whose value could not be read was passed over without a line.
- A server in a zone that the configuration doesn't name was taken out of the table and put back at each listing, which discarded the rankings of all servers, some once a second.

test_configuration_without_a_readable_value_is_logged and test_server_in_an_unknown_zone_changes_the_table_once failed on the code before.

--- a/src/rhubarbspan/edge/entries.py
+++ b/src/rhubarbspan/edge/entries.py
@@ -7,6 +7,7 @@
 from .failures import FailureLog
 
 T = TypeVar("T")
+NO_VALUE = "the store delivers no value that can be read"
 
 
 def decode_guarded(
@@ -53,7 +54,7 @@
         known = self._known.get(key)
         if known is not None and known[0] == value:
             return known[1]
-        entry: T | Failure = Failure("malformed", "the value is not valid Base64")
+        entry: T | Failure = Failure("malformed", NO_VALUE)
         if value is not None:
             entry = decode_guarded(lambda: self._decode(key, value), self._failures)
         if isinstance(entry, Failure):
--- a/src/rhubarbspan/edge/feed.py
+++ b/src/rhubarbspan/edge/feed.py
@@ -33,7 +33,7 @@
 from ..platform.settings import Bounds, PlatformSettings
 from ..platform.store import Item, PlatformStore, Reading
 from ..verdict import Failure
-from .entries import EntryReader, decode_guarded
+from .entries import NO_VALUE, EntryReader, decode_guarded
 from .failures import FailureLog
 from .ticker import Ticker
 
@@ -322,8 +322,11 @@
     def _publish_operator(self, mirror: Mirror, requested_s: float | None) -> None:
         data_centres = {evacuated_data_centre(key) for key in mirror.values} - {""}
         self._ticker.inputs.on_next(EvacuationsListed(frozenset(data_centres)))
-        value = mirror.values.get(CONFIGURATION_KEY)
+        if CONFIGURATION_KEY not in mirror.values:
+            return
+        value = mirror.values[CONFIGURATION_KEY]
         if value is None:
+            self._failures.report_entry(CONFIGURATION_KEY, NO_VALUE)
             return
         match self._translate(value):
             case Failure(reason=reason):
--- a/src/rhubarbspan/systems/health.py
+++ b/src/rhubarbspan/systems/health.py
@@ -280,9 +280,10 @@
         (drain.kind, drain.target) for drain in world.configuration.drains.values()
     }
     for row in world.servers.rows():
-        if not row.region:
+        region = row.region or world.configuration.region_of(row.data_centre)
+        if region != row.region:
             world.servers.remove(row)
-            row.region = world.configuration.region_of(row.data_centre)
+            row.region = region
             world.servers.add(row)
         row.is_drained = (DrainKind.BACKEND_SERVER, row.server_id) in drained or (
             DrainKind.DATA_CENTRE,
--- a/tests/test_unreadable_entries.py
+++ b/tests/test_unreadable_entries.py
@@ -7,14 +7,17 @@
 import logbook
 import pytest
 
+from conftest import build_world, single_document
 from platform_site import PlatformSite
 from rhubarbspan.edge.entries import EntryReader
 from rhubarbspan.edge.failures import N_MAX_REPORTED, REPEAT_S, FailureLog
 from rhubarbspan.edge.feed import Feed, Mirror
+from rhubarbspan.inputs import ServerListing, ServersListed
 from rhubarbspan.platform.configuration import translate_configuration
 from rhubarbspan.platform.records import decode_instance, decode_server
 from rhubarbspan.record_checks import is_ip_and_port
 from rhubarbspan.standins import platform_store
+from rhubarbspan.tick import run_tick
 from rhubarbspan.verdict import Failure
 
 DRAIN_S = 2.5
@@ -300,6 +303,41 @@
     assert instance.world.counters["task_failures", f"reading {prefix}"] > 0
 
 
+# Each listing discarded the rankings of all servers.
+def test_server_in_an_unknown_zone_changes_the_table_once() -> None:
+    world = build_world(single_document(), 1)
+    servers = [
+        ServerListing("shop-0", "shop", "127.0.0.1:1", "x"),
+        ServerListing("shop-1", "shop", "127.0.0.1:2", "nowhere"),
+    ]
+    versions = []
+    for step in range(4):
+        run_tick(world, 200.0 + step, [ServersListed("shop", servers)])
+        versions.append(world.servers.version)
+    assert len(set(versions)) == 1
+    row = world.servers.get("shop-1")
+    assert row is not None
+    assert row.region == ""
+
+
+def test_configuration_without_a_readable_value_is_logged(
+    deployed: PlatformSite, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    site = deployed
+    encode = platform_store._item_fields
+    monkeypatch.setattr(
+        platform_store, "_item_fields", lambda item: {**encode(item), "value": 7}
+    )
+    log = logbook.TestHandler()
+    with log.applicationbound():
+        site.store.put("op/config", b"")
+        site.wait_for(
+            lambda: [row for row in log.records if "'op/config'" in row.message],
+            "the line",
+        )
+    assert site.instances[0].world.configuration.revision == 1
+
+
 # Its row stayed for good once the entry was gone.
 def test_server_of_an_unknown_service_goes_with_its_entry(
     deployed: PlatformSite,
