Keep the daemon's tasks going after an unexpected error

The other front end had the same fault: one error outside the calls of the store, such as RecursionError for deep nesting in the catalog's or a server's answer, ended the watch of the configuration, the polling of the lists or the probing of all servers for good.

The three run on after an unexpected error, as the platform's tasks do (run_on, which the watch of the settings uses too), and deep nesting is a failure.

test_tasks_of_a_daemon_go_on_after_an_unexpected_error (three cases) and test_deep_nesting_of_the_catalog_is_a_failure failed on the code before.

--- a/src/rhubarbspan/edge/catalog.py
+++ b/src/rhubarbspan/edge/catalog.py
@@ -16,6 +16,7 @@
 from ..publishing import read_stored
 from ..verdict import Failure
 from ..wire.consul import to_peer_listing, to_server_listing
+from .failures import FailureLog, run_on
 from .store import HttpStore
 from .ticker import Ticker
 
@@ -33,6 +34,7 @@
 
     __slots__ = (
         "_ticker",
+        "_failures",
         "_store",
         "_service",
         "_tasks",
@@ -44,6 +46,7 @@
 
     def __init__(self, ticker: Ticker, store: HttpStore, service: str) -> None:
         self._ticker = ticker
+        self._failures = FailureLog(ticker.world.count, ticker.now_s)
         self._store = store
         self._service = service
         self._tasks: set[asyncio.Task[None]] = set()
@@ -54,8 +57,12 @@
 
     def start(self) -> None:
         """Start to watch the configuration and to poll the lists."""
-        self._spawn(self._watch_configuration())
-        self._spawn(self._poll_lists())
+        works = {
+            "watch of the configuration": self._watch_configuration,
+            "polling of lists": self._poll_lists,
+        }
+        for task, work in works.items():
+            self._spawn(run_on(work, task, self._failures))
 
     async def stop(self) -> None:
         """Stop all tasks and close the connections to the store."""
--- a/src/rhubarbspan/edge/failures.py
+++ b/src/rhubarbspan/edge/failures.py
@@ -1,12 +1,15 @@
 """Reports failures of long-lived tasks and of single entries, each of them seldom."""
 
+import asyncio
 import sys
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import logbook
 
 LOG = logbook.Logger("rhubarbspan")
 REPEAT_S = 60.0
+# Pause after an unexpected error, in case that it repeats.
+ERROR_DELAY_S = 1.0
 # Bounds the memory for what was reported, and so the lines in the time above.
 N_MAX_REPORTED = 100
 MAX_SHOWN_LENGTH = 250
@@ -57,6 +60,24 @@
         return True
 
 
+async def run_on(
+    work: Callable[[], Awaitable[None]], task: str, failures: FailureLog
+) -> None:
+    """Run work that has no end; run it again after an unexpected error.
+
+    Args:
+        work: Starts the work.
+        task: What the work is called in reports.
+        failures: Receives the errors.
+    """
+    while True:
+        try:
+            await work()
+        except Exception:
+            failures.report_error(task)
+        await asyncio.sleep(ERROR_DELAY_S)
+
+
 def _current_place() -> str:
     """Return the type of the exception being handled, and where it was raised."""
     kind, _, trace = sys.exc_info()
--- a/src/rhubarbspan/edge/feed.py
+++ b/src/rhubarbspan/edge/feed.py
@@ -34,7 +34,7 @@
 from ..platform.store import Item, PlatformStore, Reading
 from ..verdict import Failure
 from .entries import NO_VALUE, EntryReader, decode_guarded
-from .failures import FailureLog
+from .failures import ERROR_DELAY_S, FailureLog
 from .ticker import Ticker
 
 LOG = logbook.Logger("rhubarbspan.store")
@@ -50,8 +50,6 @@
 INSTANCES_PAUSE_S = 1.0
 RETRY_DELAY_S = 0.25
 BACKUP_RETRY_DELAY_S = 2.0
-# Pause after an unexpected error; an error that repeats must not use up the calls.
-ERROR_DELAY_S = 1.0
 # By the platform's documentation, a watch may report a change up to a second late.
 MAX_WATCH_LAG_S = 1.0
 # Largest age of a configuration, as a fraction of the time after which a revoked key
--- a/src/rhubarbspan/edge/instance.py
+++ b/src/rhubarbspan/edge/instance.py
@@ -34,7 +34,7 @@
 from ..policies import DemandShares, ObjectPlacement, Policies
 from ..verdict import Failure
 from ..world import Identity, create_world
-from .failures import FailureLog
+from .failures import FailureLog, run_on
 from .feed import Feed, max_listing_gap_s
 from .front import Front
 from .lines import LineHandler, LineWriter
@@ -306,12 +306,11 @@
 async def _watch_settings(path: str, instance: Instance, reload: asyncio.Event) -> None:
     """Reload the settings after SIGHUP or a change; keep the old ones if invalid."""
     failures = FailureLog(instance.world.count, instance.ticker.now_s)
-    while True:
-        try:
-            await _reload_on_change(path, instance, reload)
-        except Exception:
-            failures.report_error("watch of the settings")
-            await asyncio.sleep(SETTINGS_POLL_INTERVAL_S)
+    await run_on(
+        lambda: _reload_on_change(path, instance, reload),
+        "watch of the settings",
+        failures,
+    )
 
 
 async def _reload_on_change(
--- a/src/rhubarbspan/edge/probing.py
+++ b/src/rhubarbspan/edge/probing.py
@@ -7,6 +7,7 @@
 
 from ..inputs import ProbeFailed, ProbeSucceeded
 from ..tables.servers import ServerRow
+from .failures import FailureLog, run_on
 from .ticker import Ticker
 
 PROBE_INTERVAL_S = 1.0
@@ -14,6 +15,8 @@
 HEALTH_PATH = "/health"
 MAX_HEALTH_BYTES = 4096
 HTTP_OK = 200
+# Deep nesting exceeds the interpreter's recursion limit.
+DECODE_ERRORS = (msgspec.MsgspecError, RecursionError)
 
 
 class HealthBody(msgspec.Struct):
@@ -33,10 +36,11 @@
 class Prober:
     """Probes servers of the own region and those whose slots the instance owns."""
 
-    __slots__ = ("_ticker", "_session", "_task")
+    __slots__ = ("_ticker", "_failures", "_session", "_task")
 
     def __init__(self, ticker: Ticker) -> None:
         self._ticker = ticker
+        self._failures = FailureLog(ticker.world.count, ticker.now_s)
         self._session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(PROBE_TIMEOUT_S)
         )
@@ -44,7 +48,7 @@
 
     def start(self) -> None:
         """Start probing."""
-        self._task = asyncio.create_task(self._run())
+        self._task = asyncio.create_task(run_on(self._run, "probing", self._failures))
 
     async def stop(self) -> None:
         """Stop probing."""
@@ -75,7 +79,7 @@
                 body = await response.content.read(MAX_HEALTH_BYTES)
                 is_ok = response.status == HTTP_OK
             health = msgspec.json.decode(body, type=HealthBody)
-        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
+        except (aiohttp.ClientError, TimeoutError, OSError, *DECODE_ERRORS):
             self._ticker.inputs.on_next(ProbeFailed(server.server_id))
             return
         probed = ProbeSucceeded(
--- a/src/rhubarbspan/wire/consul.py
+++ b/src/rhubarbspan/wire/consul.py
@@ -10,6 +10,8 @@
 from ..verdict import Failure
 
 INDEX_HEADER = "X-Consul-Index"
+# Deep nesting exceeds the interpreter's recursion limit.
+DECODE_ERRORS = (msgspec.MsgspecError, RecursionError)
 
 
 class KeyValueBody(msgspec.Struct, rename="pascal"):
@@ -68,7 +70,7 @@
             )
             for item in found
         ]
-    except (msgspec.MsgspecError, binascii.Error) as error:
+    except (*DECODE_ERRORS, binascii.Error) as error:
         return Failure(STORE_GARBAGE, f"the store's response is malformed: {error}")
 
 
@@ -94,7 +96,7 @@
     """Return the indices of the operations of a transaction that failed."""
     try:
         decoded = msgspec.json.decode(body, type=TransactionBody)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return Failure(STORE_GARBAGE, f"the store's response is malformed: {error}")
     return [error.op_index for error in decoded.errors or []]
 
@@ -103,7 +105,7 @@
     """Return the identifier of a new session."""
     try:
         return msgspec.json.decode(body, type=SessionBody).id
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return Failure(STORE_GARBAGE, f"the store's response is malformed: {error}")
 
 
@@ -111,7 +113,7 @@
     """Decode a health response to the registered processes that it lists."""
     try:
         decoded = msgspec.json.decode(body, type=list[ServiceEntryBody])
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return Failure(STORE_GARBAGE, f"the service list is malformed: {error}")
     return [entry.service for entry in decoded]
 
--- a/tests/test_edge_tasks.py
+++ b/tests/test_edge_tasks.py
@@ -9,17 +9,24 @@
 import pytest
 
 from conftest import build_world, single_document
+from edge_site import Site, edit
 from platform_site import PlatformSite
+from rhubarbspan.edge import catalog as catalog_module
+from rhubarbspan.edge import failures as failures_module
 from rhubarbspan.edge import instance as instance_module
 from rhubarbspan.edge import peers as peers_module
+from rhubarbspan.edge import probing as probing_module
 from rhubarbspan.edge.failures import FailureLog
 from rhubarbspan.edge.peers import MAX_JOINED_BYTES, MAX_SENT_BYTES, PeerStream
 from rhubarbspan.edge.ticker import Ticker
+from rhubarbspan.edits import GrantKey
 from rhubarbspan.effects import Effect, LogChange, LogLevel, SendPeerMessage
 from rhubarbspan.peer_messages import StoreItem, StoreUpdate
 from rhubarbspan.platform.settings import read_platform_settings
 from rhubarbspan.platform.store import PlatformStore
 from rhubarbspan.verdict import Failure
+from rhubarbspan.wire import consul
+from rhubarbspan.wire.http import hash_key
 from rhubarbspan.wire.peer import decode_frame
 
 TIMEOUT_S = 8.0
@@ -174,6 +181,7 @@
 
     monkeypatch.setattr(instance_module, "_load_settings", load)
     monkeypatch.setattr(instance_module, "SETTINGS_POLL_INTERVAL_S", 0.05)
+    monkeypatch.setattr(failures_module, "ERROR_DELAY_S", 0.05)
 
     async def work() -> None:
         reload = asyncio.Event()
@@ -198,3 +206,54 @@
 def test_settings_that_cannot_be_read_are_a_failure(text: str) -> None:
     failure = read_platform_settings(text, "f.yaml")
     assert isinstance(failure, Failure)
+
+
+@pytest.mark.parametrize(
+    ("name", "task"),
+    [
+        ("catalog.read_stored", "watch of the configuration"),
+        ("catalog.to_peer_listing", "polling of lists"),
+        ("probing.Prober._servers_to_probe", "probing"),
+    ],
+)
+def test_tasks_of_a_daemon_go_on_after_an_unexpected_error(
+    site: Site, monkeypatch: pytest.MonkeyPatch, name: str, task: str
+) -> None:
+    module, _, path = name.partition(".")
+    function: Any = {"catalog": catalog_module, "probing": probing_module}[module]
+    for part in path.split("."):
+        function = getattr(function, part)
+    call = failing_first(1, function)
+    n_calls = 0
+
+    def count(*arguments: Any) -> Any:
+        nonlocal n_calls
+        n_calls += 1
+        return call(*arguments)
+
+    monkeypatch.setattr(f"rhubarbspan.edge.{name}", count)
+
+    async def work() -> None:
+        # Ends the reads that wait for a change of the configuration.
+        for number in range(3):
+            await edit(site, GrantKey("bo", hash_key(f"{name} {number}")))
+            await asyncio.sleep(0.7)
+        async with asyncio.timeout(TIMEOUT_S):
+            while n_calls < 2 * len(site.deployment.daemons) + 1:
+                await asyncio.sleep(0.05)
+
+    worlds = [daemon.world for daemon in site.deployment.daemons.values()]
+    site.run(work())
+    assert sum(world.counters["task_failures", task] for world in worlds) == 1
+
+
+def test_deep_nesting_of_the_catalog_is_a_failure() -> None:
+    deep = b'[{"x":' + b"[" * 2000
+    decoders: list[Callable[[bytes], object]] = [
+        consul.decode_entries,
+        consul.decode_services,
+        consul.decode_session,
+        consul.decode_transaction_errors,
+    ]
+    for decode in decoders:
+        assert isinstance(decode(deep if decode in decoders[:2] else deep[1:]), Failure)
