--- a/src/rhubarbspan/edge/instance.py
+++ b/src/rhubarbspan/edge/instance.py
@@ -19,6 +19,7 @@
     Effect,
     Exit,
     FinishRequest,
+    ForgetPeer,
     LogChange,
     LogLevel,
     LogRequest,
@@ -33,6 +34,7 @@
 from ..policies import DemandShares, ObjectPlacement, Policies
 from ..verdict import Failure
 from ..world import Identity, create_world
+from .failures import FailureLog, run_on
 from .feed import Feed, max_listing_gap_s
 from .front import Front
 from .lines import LineHandler, LineWriter
@@ -158,7 +160,8 @@
         self._store = PlatformStore(settings.store)
         # Watches the store for configuration and for registrations.
         self._feed = Feed(self.ticker, self._store, settings)
-        self._registration = Registration(self._store, settings)
+        failures = FailureLog(self.world.count, clock)
+        self._registration = Registration(self._store, settings, failures)
 
     async def start(self) -> Failure | None:
         """Listen and start the tasks.
@@ -237,6 +240,8 @@
                 self._upstream.abort(effect)
             case SendPeerMessage():
                 self._peers.send(effect)
+            case ForgetPeer(seat=seat):
+                self._peers.forget(seat)
             case SetStoreAccess(access=access):
                 self._feed.set_access(access)
             case ApplyStoreUpdate(update=update):
@@ -323,6 +328,17 @@
 
 async def _watch_settings(path: str, instance: Instance, reload: asyncio.Event) -> None:
     """Reload the settings after SIGHUP or a change; keep the old ones if invalid."""
+    failures = FailureLog(instance.world.count, instance.ticker.now_s)
+    await run_on(
+        lambda: _reload_on_change(path, instance, reload),
+        "watch of the settings",
+        failures,
+    )
+
+
+async def _reload_on_change(
+    path: str, instance: Instance, reload: asyncio.Event
+) -> None:
     modified_ns = _modified_ns(path)
     current_settings = instance.settings
     while True:
--- a/src/rhubarbspan/platform/store.py
+++ b/src/rhubarbspan/platform/store.py
@@ -9,6 +9,7 @@
 
 from ..keyvalue import STORE_DOWN, STORE_GARBAGE, STORE_UNCLEAR
 from ..verdict import Failure
+from .records import DECODE_ERRORS
 
 T = TypeVar("T")
 MS_PER_S = 1000
@@ -16,7 +17,7 @@
 # milliseconds, but may be two regions away.
 CALL_TIMEOUT_S = 0.8
 HISTORY_GONE = "history-gone"
-LEASE_GONE = "lease-gone"
+NOT_THERE = "not-there"
 CONFLICT = "conflict"
 HTTP_OK = 200
 NOT_FOUND = 404
@@ -33,15 +34,20 @@
     tombstone: bool = False
 
 
+class _KeyOnly(msgspec.Struct):
+    key: str
+
+
 class _Range(msgspec.Struct):
-    items: list[_Item] = []
+    # Decoded one by one, so that one that cannot be read does not cost the page.
+    items: list[msgspec.Raw] = []
     # Revision of the whole store, not of the latest item.
     currentRev: int = 0
     morePages: bool = False
 
 
 class _Events(msgspec.Struct):
-    events: list[_Item] = []
+    events: list[msgspec.Raw] = []
     currentRev: int = 0
 
 
@@ -49,13 +55,18 @@
     lease: int
 
 
+class _Holding(msgspec.Struct):
+    revision: int
+    lease: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Item:
     """A key and its value.
 
     Attributes:
-        value: The decoded bytes, or None if the key was deleted or its value is not
-            valid Base64.
+        value: The decoded bytes, or None if the key was deleted or its value cannot be
+            read.
         is_deleted: Whether the key was deleted.
     """
 
@@ -72,7 +83,25 @@
     revision: int
 
 
-def _to_item(item: _Item) -> Item:
+@dataclass(frozen=True, slots=True)
+class Holding:
+    """The revision of a key's last change, 0 if there is no such key, and its lease."""
+
+    revision: int
+    lease: int
+
+
+def _to_items(rows: list[msgspec.Raw]) -> list[Item]:
+    """Decode items one by one, without those whose key cannot be read."""
+    items = (_to_item(row) for row in rows)
+    return [item for item in items if item is not None]
+
+
+def _to_item(row: msgspec.Raw) -> Item | None:
+    item = _decode(row, _Item)
+    if isinstance(item, Failure):
+        named = _decode(row, _KeyOnly)
+        return None if isinstance(named, Failure) else Item(named.key, None)
     if item.tombstone:
         return Item(item.key, None, True)
     try:
@@ -115,10 +144,13 @@
             if isinstance(page, Failure):
                 return page
             first_revision = first_revision or page.currentRev
-            items += [_to_item(item) for item in page.items]
+            page_items = _to_items(page.items)
+            items += page_items
             if not page.morePages or not page.items:
                 return Reading(items, first_revision)
-            after = page.items[-1].key
+            if not page_items or page_items[-1].key == after:
+                return Failure(STORE_GARBAGE, "kv-range: the next page has no start")
+            after = page_items[-1].key
 
     async def watch(
         self, prefix: str, revision: int, wait_s: float, may_be_stale: bool = False
@@ -139,8 +171,7 @@
         events = _decode(body, _Events)
         if isinstance(events, Failure):
             return events
-        items = [_to_item(item) for item in events.events]
-        return Reading(items, max(revision, events.currentRev))
+        return Reading(_to_items(events.events), max(revision, events.currentRev))
 
     async def open_lease(self, ttl_s: float) -> int | Failure:
         """Open a lease and return its number; its keys are removed when it ends."""
@@ -160,11 +191,38 @@
         body = await self._call("DELETE", f"kv-lease-end/{lease}", {})
         return body if isinstance(body, Failure) else None
 
-    async def put(self, key: str, value: bytes, lease: int) -> Failure | None:
-        """Write a key under a lease, whatever its current value."""
+    async def read_holding(
+        self, key: str, may_be_stale: bool = False
+    ) -> Holding | Failure:
+        """Read under which lease a key is; stale reads cost a tenth."""
+        query = {"key": key, **({"staleOk": "1"} if may_be_stale else {})}
+        body = await self._call("GET", "kv-key", query)
+        if isinstance(body, Failure):
+            return Holding(0, 0) if body.code == NOT_THERE else body
+        found = _decode(body, _Holding)
+        if isinstance(found, Failure):
+            return found
+        return Holding(found.revision, found.lease)
+
+    async def put(
+        self, key: str, value: bytes, lease: int, expected_revision: int
+    ) -> Failure | None:
+        """Write a key under a lease if its last change is still the expected one.
+
+        A call without a response may be executed later. With the condition it then
+        changes nothing that was written after it.
+
+        Args:
+            key: The key.
+            value: The value.
+            lease: The lease that the key is removed with.
+            expected_revision: Revision of the key's last change, or 0 if it must not
+                exist.
+        """
         text = base64.b64encode(value).decode()
         put = {"key": key, "value": text, "lease": lease}
-        change = {"expectedRevision": [], "puts": [put], "deletes": []}
+        expected = [{"key": key, "revision": expected_revision}]
+        change = {"expectedRevision": expected, "puts": [put], "deletes": []}
         body = await self._call("POST", "kv-txn", {}, json=change)
         return body if isinstance(body, Failure) else None
 
@@ -206,14 +264,14 @@
             f"{path}: the store no longer keeps the changes after that revision",
         )
     if status == NOT_FOUND:
-        return Failure(LEASE_GONE, f"{path}: there is no such lease")
+        return Failure(NOT_THERE, f"{path}: there is no such lease or key")
     if status == PRECONDITION_FAILED:
         return Failure(CONFLICT, f"{path}: the condition does not hold")
     return Failure(STORE_GARBAGE, f"{path}: status {status}")
 
 
-def _decode(body: bytes, kind: type[T]) -> T | Failure:
+def _decode(body: bytes | msgspec.Raw, kind: type[T]) -> T | Failure:
     try:
         return msgspec.json.decode(body, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return Failure(STORE_GARBAGE, str(error))
--- a/src/rhubarbspan/systems/health.py
+++ b/src/rhubarbspan/systems/health.py
@@ -20,6 +20,7 @@
     Timer,
 )
 from ..peer_messages import Heartbeat
+from ..record_checks import MAX_COLD_S
 from ..tables.servers import ServerRow
 from ..world import World
 from .slots import N_PROBES_TO_FAIL, assign_servers
@@ -177,7 +178,7 @@
     for server_id, remaining_s in refusing_s.items():
         row = world.servers.get(server_id)
         if row is not None:
-            until_s = now_s + remaining_s
+            until_s = now_s + min(remaining_s, MAX_COLD_S)
             row.refused_until_s = max(row.refused_until_s, until_s)
             row.cold_until_s = max(row.cold_until_s, until_s)
 
@@ -279,9 +280,10 @@
         (drain.kind, drain.target) for drain in world.configuration.drains.values()
     }
     for row in world.servers.rows():
-        if not row.region:
+        region = row.region or world.configuration.region_of(row.data_centre)
+        if region != row.region:
             world.servers.remove(row)
-            row.region = world.configuration.region_of(row.data_centre)
+            row.region = region
             world.servers.add(row)
         row.is_drained = (DrainKind.BACKEND_SERVER, row.server_id) in drained or (
             DrainKind.DATA_CENTRE,
