--- a/src/rhubarbspan/edge/upstream.py
+++ b/src/rhubarbspan/edge/upstream.py
@@ -15,6 +15,7 @@
     ConnectionLost,
     Misdirected,
     Outcome,
+    ServerLeavingReported,
     ServerLoadReported,
     Shed,
     TimedOut,
@@ -288,10 +289,15 @@
             self._ticker.inputs.on_next(
                 ServerLoadReported(effect.server_id, *fields.load)
             )
+        is_misdirected = head.status_code == MISDIRECTED
+        if fields.is_leaving and not is_misdirected:
+            self._ticker.inputs.on_next(
+                ServerLeavingReported(effect.server_id, effect.incarnation)
+            )
         if fields.keep_alive_s > 0:
             max_idle_s = max(0.0, fields.keep_alive_s - KEEPALIVE_MARGIN_S)
             connection.max_idle_s = min(MAX_IDLE_S, max_idle_s)
-        is_not_run = fields.is_not_run or head.status_code == MISDIRECTED
+        is_not_run = fields.is_not_run or is_misdirected
         if not is_not_run:
             _check_response(head, fields)
         body = await self._read_body(transfer, connection.channel, exchange, head)
@@ -304,7 +310,7 @@
             connection.refused_ids.add(transfer.caller_request_id)
             n_refusals = len(connection.refused_ids)
             is_reusable = is_reusable and n_refusals < N_MAX_REFUSALS_PER_CONNECTION
-        if head.status_code == MISDIRECTED:
+        if is_misdirected:
             return Misdirected(), is_reusable
         if is_not_run:
             if transfer.is_body_consumed:
--- a/src/rhubarbspan/effects.py
+++ b/src/rhubarbspan/effects.py
@@ -29,6 +29,7 @@
             crosses none.
         account: Client account of the request, or an empty string.
         is_idempotent: Whether the request may safely run more than once.
+        incarnation: Incarnation of the server that was chosen, or 0 if unknown.
     """
 
     request_id: int
@@ -39,6 +40,7 @@
     link: str = ""
     account: str = ""
     is_idempotent: bool = False
+    incarnation: int = 0
 
 
 @dataclass(slots=True)
--- a/src/rhubarbspan/inputs.py
+++ b/src/rhubarbspan/inputs.py
@@ -178,6 +178,18 @@
     n_slots: int
 
 
+@dataclass(slots=True)
+class ServerLeavingReported:
+    """A backend server stated in a response that it is leaving.
+
+    Attributes:
+        incarnation: Incarnation that the request was sent to.
+    """
+
+    server_id: str
+    incarnation: int
+
+
 @dataclass(slots=True)
 class StoreRead:
     """This instance read from the store."""
@@ -325,6 +337,7 @@
     | ServersUnchanged
     | EvacuationsListed
     | ServerLoadReported
+    | ServerLeavingReported
     | StoreRead
     | StoreRecovered
     | PeersListed
--- a/src/rhubarbspan/platform/headers.py
+++ b/src/rhubarbspan/platform/headers.py
@@ -18,6 +18,8 @@
 SIGNATURE = b"x-response-signature"
 NOT_RUN = b"x-not-executed"
 LOAD = b"x-server-load"
+# Present with the value 1 in all responses of a backend server that is leaving.
+SERVER_LEAVING = b"server-leaving"
 AFFINITY_COOKIE = b"x-affinity-key"
 MISDIRECTED = 421
 MS_PER_S = 1000.0
@@ -86,6 +88,7 @@
             header is absent or malformed.
         keep_alive_s: How long the server keeps an idle connection open, in seconds, or
             0 if it does not say.
+        is_leaving: Whether the server states that it is leaving.
     """
 
     caller_request_id: str
@@ -94,6 +97,7 @@
     is_encoded: bool
     load: tuple[int, int, int] | None
     keep_alive_s: float
+    is_leaving: bool
 
 
 def parse_request_headers(headers: Headers) -> RequestFields:
@@ -160,7 +164,7 @@
 def parse_response_headers(headers: Headers) -> ResponseFields:
     """Parse the headers of a backend server's response, names in lower case."""
     request_id = ""
-    is_signed = is_not_run = is_encoded = False
+    is_signed = is_not_run = is_encoded = is_leaving = False
     load: tuple[int, int, int] | None = None
     keep_alive_s = 0.0
     for name, value in headers:
@@ -176,8 +180,10 @@
             load = _parse_load(value)
         elif name == b"keep-alive":
             keep_alive_s = _parse_keep_alive_s(value)
+        elif name == SERVER_LEAVING:
+            is_leaving = value.strip() == b"1"
     return ResponseFields(
-        request_id, is_signed, is_not_run, is_encoded, load, keep_alive_s
+        request_id, is_signed, is_not_run, is_encoded, load, keep_alive_s, is_leaving
     )
 
 
--- a/src/rhubarbspan/standins/platform_server.py
+++ b/src/rhubarbspan/standins/platform_server.py
@@ -18,6 +18,8 @@
 
     NONE = "none"
     SHED = "shed"
+    # Status 503 after the request has run.
+    UNAVAILABLE = "unavailable"
     MISDIRECTED = "misdirected"
     ERROR = "error"
     WRONG_ID = "wrong-id"
@@ -54,6 +56,9 @@
         faults: Faults of the next responses, in order; later ones have no fault.
         service_s: Service time of each request.
         response_bytes: Least size of a response's body.
+        is_leaving: Whether each response says that the server is leaving.
+        retry_after: Value of the header in responses with status 503, or an empty
+            string for none.
         runs: Number of runs by request ID.
         requests: Method, target, headers and body of each request that was run.
         refused_ids: Identifier of the request that was refused last, by connection.
@@ -66,6 +71,8 @@
     faults: list[Fault] = field(default_factory=list)
     service_s: float = 0.0
     response_bytes: int = 40
+    is_leaving: bool = False
+    retry_after: str = ""
     runs: Counter[str] = field(default_factory=Counter)
     requests: list[tuple[bytes, bytes, dict[bytes, bytes], bytes]] = field(
         default_factory=list
@@ -124,7 +131,7 @@
         while isinstance(event := await _next_event(reader, parser), h11.Data):
             body += event.data
         if fault in (Fault.SHED, Fault.MISDIRECTED):
-            writer.write(_declined_response(fault, request_id, self.server_id))
+            writer.write(self._declined_response(fault, request_id))
             self.refused_ids[writer] = request_id
             return _complete_cycle(parser)
         self.runs[request_id] += 1
@@ -160,7 +167,7 @@
         match fault:
             case Fault.REFUSAL_AGAIN if writer in self.refused_ids:
                 refused_id = self.refused_ids[writer]
-                writer.write(_declined_response(Fault.SHED, refused_id, self.server_id))
+                writer.write(self._declined_response(Fault.SHED, refused_id))
             case Fault.NONE | Fault.SHED | Fault.MISDIRECTED | Fault.REFUSAL_AGAIN:
                 writer.write(response)
             case Fault.EARLY:
@@ -169,6 +176,9 @@
                 writer.write(
                     response.replace(b"200 OK", b"500 Internal Server Error", 1)
                 )
+            case Fault.UNAVAILABLE:
+                head = f"503 Service Unavailable\r\n{self._retry_header()}".encode()
+                writer.write(response.replace(b"200 OK\r\n", head, 1))
             case Fault.WRONG_ID:
                 writer.write(self._signed_response("other", b"not yours"))
             case Fault.STRAY_FIRST:
@@ -194,7 +204,7 @@
             case Fault.SILENT:
                 await asyncio.sleep(3600)
             case Fault.REFUSAL_WITHOUT_ID:
-                refusal = _declined_response(Fault.SHED, "", self.server_id)
+                refusal = self._declined_response(Fault.SHED, "")
                 writer.write(refusal.replace(b"X-Request-Id: \r\n", b"", 1))
             case Fault.RESPONSE_WITHOUT_ID:
                 head = f"X-Request-Id: {request_id}\r\n".encode()
@@ -224,10 +234,27 @@
             f"X-Request-Id: {request_id}\r\n"
             f"X-Response-Signature: sig.{self.server_id}.{request_id}\r\n"
             "X-Server-Load: 1,0,3\r\n"
+            f"{self._leaving_header()}"
             f"Content-Length: {len(body)}\r\n\r\n"
         )
         return head.encode() + body
 
+    def _declined_response(self, fault: Fault, request_id: str) -> bytes:
+        is_shed = fault is Fault.SHED
+        status = "503 Service Unavailable" if is_shed else "421 Misdirected"
+        return (
+            f"HTTP/1.1 {status}\r\nX-Request-Id: {request_id}\r\n"
+            f"X-Not-Executed: 1\r\nX-Instance-Id: {self.server_id}\r\n"
+            f"{self._leaving_header()}{self._retry_header() if is_shed else ''}"
+            "Content-Length: 0\r\n\r\n"
+        ).encode()
+
+    def _leaving_header(self) -> str:
+        return "Server-Leaving: 1\r\n" if self.is_leaving else ""
+
+    def _retry_header(self) -> str:
+        return f"Retry-After: {self.retry_after}\r\n" if self.retry_after else ""
+
 
 def _endless_bytes(fault: Fault, request_id: str) -> tuple[bytes, bytes]:
     """Return the start of an endless response and the bytes that it repeats."""
@@ -271,14 +298,6 @@
     writer.transport.abort()
 
 
-def _declined_response(fault: Fault, request_id: str, server_id: str) -> bytes:
-    status = "503 Service Unavailable" if fault is Fault.SHED else "421 Misdirected"
-    return (
-        f"HTTP/1.1 {status}\r\nX-Request-Id: {request_id}\r\nX-Not-Executed: 1\r\n"
-        f"X-Instance-Id: {server_id}\r\nContent-Length: 0\r\n\r\n"
-    ).encode()
-
-
 def _complete_cycle(parser: h11.Connection) -> bool:
     """Advance the parser past a response that was written without it.
 
--- a/src/rhubarbspan/systems/health.py
+++ b/src/rhubarbspan/systems/health.py
@@ -22,6 +22,7 @@
 from ..peer_messages import Heartbeat
 from ..tables.servers import ServerRow
 from ..world import World
+from .announcements import FROM_LIST, report_leaving
 from .slots import N_PROBES_TO_FAIL, assign_servers
 
 N_LIVE_LISTINGS_TO_REJOIN = 3
@@ -90,7 +91,7 @@
         if known is None:
             add_server(world, now_s, server)
         else:
-            effects += _refresh_server(known, server)
+            effects += _refresh_server(world, known, server)
         current = world.servers.get(server.server_id)
         if current is not None:
             effects += apply_record(world, now_s, current, server)
@@ -209,7 +210,7 @@
     world.servers.never_used[row.server_id] = None
 
 
-def _refresh_server(row: ServerRow, server: ServerListing) -> Effects:
+def _refresh_server(world: World, row: ServerRow, server: ServerListing) -> Effects:
     """Apply a listing to a known server.
 
     A server that was listed as leaving counts as leaving until it has rejoined.
@@ -224,8 +225,7 @@
             return []
         row.is_listed_leaving = True
         row.leaving_generation = row.generation
-        text = f"backend server {row.server_id} is leaving"
-        return [LogChange(LogLevel.INFO, text)]
+        return report_leaving(world, row.server_id, server.incarnation, FROM_LIST)
     if not row.is_listed_leaving:
         return []
     row.n_live_listings += 1
--- a/src/rhubarbspan/systems/placement.py
+++ b/src/rhubarbspan/systems/placement.py
@@ -598,5 +598,6 @@
         max(0.001, row.deadline_s - now_s),
         account=row.account,
         is_idempotent=row.route.kind is RouteKind.IDEMPOTENT,
+        incarnation=server.incarnation,
     )
     return [attempt, line]
--- a/src/rhubarbspan/tick.py
+++ b/src/rhubarbspan/tick.py
@@ -5,6 +5,7 @@
 from .effects import Effects
 from .inputs import Inbox, Input
 from .systems.admission import admit_requests
+from .systems.announcements import record_announcements
 from .systems.claiming import claim_requests
 from .systems.departure import leave_fleet
 from .systems.dispatch import dispatch_requests
@@ -30,6 +31,7 @@
     track_peers,
     exchange_summaries,
     share_store_reads,
+    record_announcements,
     watch_servers,
     hand_over_servers,
     update_suspects,
--- a/src/rhubarbspan/world.py
+++ b/src/rhubarbspan/world.py
@@ -9,6 +9,7 @@
 from .effects import StoreAccess
 from .inputs import Timer
 from .policies import Policies
+from .tables.announcements import Announcements
 from .tables.answers import Answers
 from .tables.buckets import Buckets
 from .tables.claims import Claims
@@ -142,6 +143,7 @@
     configuration_state: ConfigurationState = field(default_factory=ConfigurationState)
     requests: Requests = field(default_factory=Requests)
     servers: Servers = field(default_factory=Servers)
+    announcements: Announcements = field(default_factory=Announcements)
     peers: Peers = field(default_factory=Peers)
     buckets: Buckets = field(default_factory=Buckets)
     queues: Queues = field(default_factory=Queues)
