Send nothing more to a server that has said it leaves

Callers' requests reached servers longer than drainS after these had said in a response that they leave (DRAIN), and orders were sent to servers about to exit.

Cause: only the store's list decided. It may be late or silent, may show the server as ready again (three live listings let it rejoin), or may lose the record and get it back, upon which the server counted as new.

A table keeps what each incarnation of a server said, apart from the rows of servers, and each listing applies it, so that only another incarnation ends it. A row is dropped once its server was unlisted for 15 minutes; while it is listed it stays. The incarnation is the one that the request was sent to, so that a late response does not put its successor out of use. Heartbeats tell peers for 10 s, at the end of the message, and peers pass it on with its age. Any response that is certain to be the server's is believed, refused and failed ones too; a 421 and responses to other requests are not.

Placement (never used servers and the fall-back to ejected ones included), queued requests, retries, utilisation and the handover of servers go by `is_leaving` already. An attempt that is connecting when the server says so belongs to a request that was sent before, and connects within 0.45 s. Idle connections to the server are closed, and the one of the response is not kept.

--- a/src/rhubarbspan/edge/upstream.py
+++ b/src/rhubarbspan/edge/upstream.py
@@ -251,6 +251,11 @@
         if len(rows) > N_MAX_IDLE_PER_SERVER:
             rows[0].channel.abort()
 
+    def _close_idle(self, address: str) -> None:
+        for connection in self._idle.rows.pop(address, []):
+            connection.channel.on_change = None
+            connection.channel.abort()
+
     async def _exchange(
         self,
         transfer: Transfer,
@@ -294,6 +299,7 @@
             self._ticker.inputs.on_next(
                 ServerLeavingReported(effect.server_id, effect.incarnation)
             )
+            self._close_idle(effect.address)
         if fields.keep_alive_s > 0:
             max_idle_s = max(0.0, fields.keep_alive_s - KEEPALIVE_MARGIN_S)
             connection.max_idle_s = min(MAX_IDLE_S, max_idle_s)
@@ -305,6 +311,7 @@
             _is_reusable(exchange)
             and not connection.channel.has_unread
             and bool(transfer.caller_request_id)
+            and not fields.is_leaving
         )
         if is_not_run:
             connection.refused_ids.add(transfer.caller_request_id)
--- a/src/rhubarbspan/peer_messages.py
+++ b/src/rhubarbspan/peer_messages.py
@@ -62,6 +62,20 @@
     cleared: list[str]
 
 
+@dataclass(slots=True)
+class LeavingServer:
+    """A backend server that has said in a response that it is leaving.
+
+    Attributes:
+        incarnation: Incarnation that said so.
+        age_s: Time since it said so.
+    """
+
+    server_id: str
+    incarnation: int
+    age_s: float
+
+
 @dataclass(slots=True)
 class Heartbeat:
     """The state of an instance, sent periodically to the other instances.
@@ -85,6 +99,8 @@
         is_two_level: Whether the sender sends heartbeats only inside its data centre.
         knows_servers: Whether the sender knows any backend server. Earlier versions do
             not send it.
+        leaving_servers: Backend servers that have lately said that they are leaving,
+            to the sender or to another instance.
     """
 
     seat: str
@@ -108,6 +124,7 @@
     responses: dict[str, list[int]] = field(default_factory=dict)
     is_two_level: bool = False
     knows_servers: bool = True
+    leaving_servers: list[LeavingServer] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/src/rhubarbspan/systems/health.py
+++ b/src/rhubarbspan/systems/health.py
@@ -22,7 +22,7 @@
 from ..peer_messages import Heartbeat
 from ..tables.servers import ServerRow
 from ..world import World
-from .announcements import FROM_LIST, report_leaving
+from .announcements import LeavingSource, apply_announcements, report_leaving
 from .slots import N_PROBES_TO_FAIL, assign_servers
 
 N_LIVE_LISTINGS_TO_REJOIN = 3
@@ -132,6 +132,7 @@
         row.failure_rate = 0.0
         row.ejected_until_s = -1e9
         world.objects.forget_server(row.server_id)
+    apply_announcements(world, row)
     if row.pool != server.pool or row.data_centre != server.data_centre:
         world.servers.remove(row)
         row.pool = server.pool
@@ -213,7 +214,8 @@
 def _refresh_server(world: World, row: ServerRow, server: ServerListing) -> Effects:
     """Apply a listing to a known server.
 
-    A server that was listed as leaving counts as leaving until it has rejoined.
+    A server that was listed as leaving counts as leaving until it has rejoined. One
+    that has said so in a response cannot rejoin, see ``announcements``.
     Listings lag, so one live listing after a leaving one may be outdated: rejoining
     takes a new generation of the process, or several live listings in a row.
     """
@@ -225,7 +227,9 @@
             return []
         row.is_listed_leaving = True
         row.leaving_generation = row.generation
-        return report_leaving(world, row.server_id, server.incarnation, FROM_LIST)
+        return report_leaving(
+            world, row.server_id, server.incarnation, LeavingSource.LIST
+        )
     if not row.is_listed_leaving:
         return []
     row.n_live_listings += 1
--- a/src/rhubarbspan/systems/membership.py
+++ b/src/rhubarbspan/systems/membership.py
@@ -14,6 +14,7 @@
 )
 from ..tables.peers import PeerRow
 from ..world import World
+from .announcements import describe_leaving
 from .bucketing import holds_delegated_shares, smoothed_demand_per_s
 from .fleet_layout import (
     N_HEARTBEATS_PER_SUMMARY,
@@ -188,6 +189,7 @@
         responses=take_responses(world.objects.unsent_responses),
         is_two_level=is_two_level(world),
         knows_servers=bool(world.servers.rows()) or not world.configuration.pools,
+        leaving_servers=describe_leaving(world, now_s),
     )
     world.heartbeats_sent_s[world.heartbeat_sequence] = now_s
     world.heartbeats_sent_s.pop(world.heartbeat_sequence - N_HEARTBEATS_KEPT, None)
--- a/src/rhubarbspan/tables/announcements.py
+++ b/src/rhubarbspan/tables/announcements.py
@@ -11,11 +11,13 @@
         server_id: The server.
         incarnation: Start time of its process in Unix milliseconds, or 0.
         leaving_said_s: When it last said that it is leaving, or None.
+        last_known_s: When it last said anything or was listed.
     """
 
     server_id: str
     incarnation: int
     leaving_said_s: float | None = None
+    last_known_s: float = -1e9
 
 
 class Announcements:
@@ -30,9 +32,21 @@
     def __init__(self) -> None:
         self._rows: dict[tuple[str, int], AnnouncementRow] = {}
 
+    def get(self, server_id: str, incarnation: int) -> AnnouncementRow | None:
+        """Return a row, or None."""
+        return self._rows.get((server_id, incarnation))
+
     def get_or_create(self, server_id: str, incarnation: int) -> AnnouncementRow:
         """Return a row, creating it if there is none."""
         key = (server_id, incarnation)
         if key not in self._rows:
             self._rows[key] = AnnouncementRow(server_id, incarnation)
         return self._rows[key]
+
+    def remove(self, row: AnnouncementRow) -> None:
+        """Remove a row."""
+        del self._rows[row.server_id, row.incarnation]
+
+    def rows(self) -> list[AnnouncementRow]:
+        """List all rows."""
+        return list(self._rows.values())
--- a/src/rhubarbspan/tables/servers.py
+++ b/src/rhubarbspan/tables/servers.py
@@ -15,6 +15,7 @@
         n_reported: Requests in flight from all sources, as the server reports.
         reported_s: When that report arrived.
         is_listed_leaving: Whether the platform's list shows the server as leaving.
+        has_said_leaving: Whether this incarnation has said that it is leaving.
         is_refusing: Whether the server reports that it accepts no new work.
         is_drained: Whether an operator drains the server.
         cold_since_s: When the server came up; its share of the requests ramps up from
@@ -56,6 +57,7 @@
     reported_s: float = -1e9
     is_listed: bool = True
     is_listed_leaving: bool = False
+    has_said_leaving: bool = False
     is_refusing: bool = False
     is_drained: bool = False
     leaving_generation: str = ""
@@ -88,6 +90,7 @@
         """Whether the server must get no new requests, for any reason known."""
         return (
             self.is_listed_leaving
+            or self.has_said_leaving
             or self.is_refusing
             or self.is_drained
             or self.is_evacuated
