Give a server the pause that it asks for with Retry-After

Read Retry-After in each 503 that is certain to be the server's, whether or not it says that the request did not run and whether or not the streamed body is gone. Seconds and fractions only; anything else is counted and ignored, and more than an hour is an hour. The pause is kept with what the incarnation said, so that it outlives a lapsed record and ends with a new process. It extends `shed_until_s`, which each path of placement heeds (`_evaluate_server` decides for never used servers and for the fall-back too); a shed within it, or a shorter Retry-After, no longer cuts it short. A deadline at its end serves the queue. Peers are not told: the server asked one instance.

--- a/src/rhubarbspan/edge/upstream.py
+++ b/src/rhubarbspan/edge/upstream.py
@@ -17,11 +17,13 @@
     Outcome,
     ServerLeavingReported,
     ServerLoadReported,
+    ServerPauseReported,
     Shed,
     TimedOut,
 )
 from ..platform.headers import (
     MISDIRECTED,
+    SERVICE_UNAVAILABLE,
     ResponseFields,
     forwarded_request_headers,
     parse_response_headers,
@@ -251,6 +253,23 @@
         if len(rows) > N_MAX_IDLE_PER_SERVER:
             rows[0].channel.abort()
 
+    def _report_announcements(
+        self, effect: StartAttempt, head: h11.Response, fields: ResponseFields
+    ) -> None:
+        """Report what the server says of itself in the head of its response."""
+        inputs = self._ticker.inputs
+        server_id, incarnation = effect.server_id, effect.incarnation
+        if fields.is_leaving:
+            inputs.on_next(ServerLeavingReported(server_id, incarnation))
+            self._close_idle(effect.address)
+        if head.status_code != SERVICE_UNAVAILABLE:
+            return
+        if fields.retry_after_s < 0:
+            self._ticker.world.count("malformed_retry_after")
+        elif fields.retry_after_s > 0:
+            pause_s = fields.retry_after_s
+            inputs.on_next(ServerPauseReported(server_id, incarnation, pause_s))
+
     def _close_idle(self, address: str) -> None:
         for connection in self._idle.rows.pop(address, []):
             connection.channel.on_change = None
@@ -295,11 +314,8 @@
                 ServerLoadReported(effect.server_id, *fields.load)
             )
         is_misdirected = head.status_code == MISDIRECTED
-        if fields.is_leaving and not is_misdirected:
-            self._ticker.inputs.on_next(
-                ServerLeavingReported(effect.server_id, effect.incarnation)
-            )
-            self._close_idle(effect.address)
+        if not is_misdirected:
+            self._report_announcements(effect, head, fields)
         if fields.keep_alive_s > 0:
             max_idle_s = max(0.0, fields.keep_alive_s - KEEPALIVE_MARGIN_S)
             connection.max_idle_s = min(MAX_IDLE_S, max_idle_s)
--- a/src/rhubarbspan/inputs.py
+++ b/src/rhubarbspan/inputs.py
@@ -190,6 +190,20 @@
     incarnation: int
 
 
+@dataclass(slots=True)
+class ServerPauseReported:
+    """A backend server asked this instance to send nothing for some time.
+
+    Attributes:
+        incarnation: Incarnation that the request was sent to.
+        pause_s: That time, from now on.
+    """
+
+    server_id: str
+    incarnation: int
+    pause_s: float
+
+
 @dataclass(slots=True)
 class StoreRead:
     """This instance read from the store."""
@@ -338,6 +352,7 @@
     | EvacuationsListed
     | ServerLoadReported
     | ServerLeavingReported
+    | ServerPauseReported
     | StoreRead
     | StoreRecovered
     | PeersListed
--- a/src/rhubarbspan/platform/headers.py
+++ b/src/rhubarbspan/platform/headers.py
@@ -1,6 +1,7 @@
 """Parses and builds the headers of requests and responses on the platform."""
 
 import hashlib
+import re
 from dataclasses import dataclass
 
 from ..verdict import Answered, MayHaveRun, NotRun, Reason, Verdict
@@ -21,8 +22,12 @@
 # Present with the value 1 in all responses of a backend server that is leaving.
 SERVER_LEAVING = b"server-leaving"
 AFFINITY_COOKIE = b"x-affinity-key"
+RETRY_AFTER = b"retry-after"
 MISDIRECTED = 421
 MS_PER_S = 1000.0
+# A server that asks for a longer pause gets one of this length.
+MAX_RETRY_AFTER_S = 3600.0
+SECONDS = re.compile(rb"\d+(\.\d+)?")
 
 # Headers that concern only one connection.
 CONNECTION_HEADERS = frozenset(
@@ -89,6 +94,8 @@
         keep_alive_s: How long the server keeps an idle connection open, in seconds, or
             0 if it does not say.
         is_leaving: Whether the server states that it is leaving.
+        retry_after_s: Time for which the server wants no requests, at most
+            ``MAX_RETRY_AFTER_S``; 0 if absent, -1 if malformed.
     """
 
     caller_request_id: str
@@ -98,6 +105,7 @@
     load: tuple[int, int, int] | None
     keep_alive_s: float
     is_leaving: bool
+    retry_after_s: float
 
 
 def parse_request_headers(headers: Headers) -> RequestFields:
@@ -166,7 +174,7 @@
     request_id = ""
     is_signed = is_not_run = is_encoded = is_leaving = False
     load: tuple[int, int, int] | None = None
-    keep_alive_s = 0.0
+    keep_alive_s = retry_after_s = 0.0
     for name, value in headers:
         if name == REQUEST_ID:
             request_id = value.decode("latin-1")
@@ -182,8 +190,17 @@
             keep_alive_s = _parse_keep_alive_s(value)
         elif name == SERVER_LEAVING:
             is_leaving = value.strip() == b"1"
+        elif name == RETRY_AFTER:
+            retry_after_s = _parse_retry_after_s(value)
     return ResponseFields(
-        request_id, is_signed, is_not_run, is_encoded, load, keep_alive_s, is_leaving
+        request_id,
+        is_signed,
+        is_not_run,
+        is_encoded,
+        load,
+        keep_alive_s,
+        is_leaving,
+        retry_after_s,
     )
 
 
@@ -203,6 +220,12 @@
     return 0.0
 
 
+def _parse_retry_after_s(value: bytes) -> float:
+    if SECONDS.fullmatch(value.strip()) is None:
+        return -1.0
+    return min(float(value), MAX_RETRY_AFTER_S)
+
+
 def forwarded_response_headers(headers: Headers) -> Headers:
     """Return the headers of a response that are forwarded to the caller."""
     dropped = CONNECTION_HEADERS | _connection_options(headers)
@@ -223,7 +246,7 @@
         case NotRun(reason=reason):
             status = NOT_RUN_STATUS.get(reason, SERVICE_UNAVAILABLE)
             if retry_after_s > 0:
-                headers.append((b"retry-after", f"{retry_after_s:.3f}".encode()))
+                headers.append((RETRY_AFTER, f"{retry_after_s:.3f}".encode()))
         case MayHaveRun(reason=reason):
             status = MAY_HAVE_RUN_STATUS.get(reason, BAD_GATEWAY)
         case Answered():
--- a/src/rhubarbspan/systems/announcements.py
+++ b/src/rhubarbspan/systems/announcements.py
@@ -7,7 +7,13 @@
 from enum import Enum
 
 from ..effects import Effects, LogChange, LogLevel
-from ..inputs import Inbox, PeerMessageReceived, ServerLeavingReported, Timer
+from ..inputs import (
+    Inbox,
+    PeerMessageReceived,
+    ServerLeavingReported,
+    ServerPauseReported,
+    Timer,
+)
 from ..peer_messages import Heartbeat, LeavingServer
 from ..tables.announcements import AnnouncementRow
 from ..tables.servers import ServerRow
@@ -30,7 +36,10 @@
 
 
 def record_announcements(world: World, now_s: float, inbox: Inbox) -> Effects:
-    """Record which incarnations of servers are leaving, by themselves and by peers."""
+    """Record which incarnations of servers are leaving, and which want a pause.
+
+    Peers tell which are leaving; a pause holds for one instance only.
+    """
     effects: Effects = []
     for said in inbox.of(ServerLeavingReported):
         effects += _record_leaving(
@@ -47,6 +56,8 @@
                         server.incarnation,
                         LeavingSource.PEER,
                     )
+    for pause in inbox.of(ServerPauseReported):
+        _record_pause(world, now_s, pause)
     if inbox.due(Timer.HEARTBEAT):
         _remove_expired(world, now_s)
     return effects
@@ -71,6 +82,16 @@
     return report_leaving(world, server_id, incarnation, source)
 
 
+def _record_pause(world: World, now_s: float, pause: ServerPauseReported) -> None:
+    world.count("server_pauses")
+    row = world.announcements.get_or_create(pause.server_id, pause.incarnation)
+    row.paused_until_s = max(row.paused_until_s, now_s + pause.pause_s)
+    row.last_known_s = now_s
+    server = world.servers.get(pause.server_id)
+    if server is not None:
+        apply_announcements(world, server)
+
+
 def apply_announcements(world: World, server: ServerRow) -> None:
     """Apply what the present incarnation of a server has said to its row."""
     row = world.announcements.get(server.server_id, server.incarnation)
@@ -78,6 +99,9 @@
     server.has_said_leaving = row is not None and row.leaving_said_s is not None
     if server.has_said_leaving != was_leaving:
         world.queues.mark_changed(server.pool)
+    if row is not None and row.paused_until_s > server.shed_until_s:
+        server.shed_until_s = row.paused_until_s
+        world.deadlines.arm(server.shed_until_s, Timer.SERVER, server.pool)
 
 
 def describe_leaving(world: World, now_s: float) -> list[LeavingServer]:
@@ -105,7 +129,9 @@
     for row in world.announcements.rows():
         if _is_listed(world, row):
             row.last_known_s = now_s
-        elif now_s - row.last_known_s > RETENTION_S:
+        is_forgotten = now_s - row.last_known_s > RETENTION_S
+        is_leaving = row.leaving_said_s is not None and not is_forgotten
+        if not is_leaving and now_s >= row.paused_until_s:
             world.announcements.remove(row)
 
 
--- a/src/rhubarbspan/systems/health.py
+++ b/src/rhubarbspan/systems/health.py
@@ -131,6 +131,7 @@
         row.n_others = 0.0
         row.failure_rate = 0.0
         row.ejected_until_s = -1e9
+        row.shed_until_s = -1e9
         world.objects.forget_server(row.server_id)
     apply_announcements(world, row)
     if row.pool != server.pool or row.data_centre != server.data_centre:
--- a/src/rhubarbspan/systems/slots.py
+++ b/src/rhubarbspan/systems/slots.py
@@ -85,7 +85,7 @@
     if pool is not None:
         n_others = pool.n_slots_per_server - len(row.running) - row.n_lent
         row.n_foreign = max(row.n_foreign, float(n_others))
-    row.shed_until_s = now_s + SHED_PAUSE_S
+    row.shed_until_s = max(row.shed_until_s, now_s + SHED_PAUSE_S)
     world.deadlines.arm(row.shed_until_s, Timer.SERVER, row.pool)
 
 
--- a/src/rhubarbspan/tables/announcements.py
+++ b/src/rhubarbspan/tables/announcements.py
@@ -11,12 +11,14 @@
         server_id: The server.
         incarnation: Start time of its process in Unix milliseconds, or 0.
         leaving_said_s: When it last said that it is leaving, or None.
+        paused_until_s: Until when it wants no requests from this instance.
         last_known_s: When it last said anything or was listed.
     """
 
     server_id: str
     incarnation: int
     leaving_said_s: float | None = None
+    paused_until_s: float = -1e9
     last_known_s: float = -1e9
 
 
--- a/src/rhubarbspan/tables/servers.py
+++ b/src/rhubarbspan/tables/servers.py
@@ -25,7 +25,8 @@
         n_ejections: Consecutive ejections without a success between them.
         generation: Identifies one run of the server's process.
         leaving_generation: Generation in which the server was last listed as leaving.
-        shed_until_s: Until when the server gets no more requests because it shed one.
+        shed_until_s: Until when the server gets no more requests because it shed one,
+            or asked for a pause.
         n_foreign: Smoothed number of slots in use by clients other than instances.
         n_lent: Slots lent to other instances.
         n_live_listings: Consecutive listings as live since one as leaving.
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -15,6 +15,7 @@
     translate_configuration,
 )
 from rhubarbspan.platform.headers import (
+    MAX_RETRY_AFTER_S,
     error_response,
     forwarded_request_headers,
     parse_request_headers,
@@ -317,6 +318,33 @@
     assert fields.is_signed
     assert not fields.is_not_run
     assert parse_response_headers([(b"x-server-load", b"many")]).load is None
+    assert not fields.is_leaving
+    assert fields.retry_after_s == 0.0
+    assert parse_response_headers([(b"server-leaving", b"1")]).is_leaving
+    assert not parse_response_headers([(b"server-leaving", b"0")]).is_leaving
+
+
+@pytest.mark.parametrize(
+    ("value", "retry_after_s"),
+    [
+        (b"2", 2.0),
+        (b" 0.25 ", 0.25),
+        (b"0", 0.0),
+        (b"9" * 400, MAX_RETRY_AFTER_S),
+        (b"-1", -1.0),
+        (b"nan", -1.0),
+        (b"inf", -1.0),
+        (b"1e3", -1.0),
+        (b"1_0", -1.0),
+        (b"", -1.0),
+        (b"Sat, 05 Dec 2026 12:00:00 GMT", -1.0),
+    ],
+)
+def test_pause_that_a_server_asks_for_is_finite_and_bounded(
+    value: bytes, retry_after_s: float
+) -> None:
+    fields = parse_response_headers([(b"retry-after", value)])
+    assert fields.retry_after_s == retry_after_s
 
 
 @pytest.mark.parametrize(
--- a/tests/test_server_announcements.py
+++ b/tests/test_server_announcements.py
@@ -1,6 +1,7 @@
 """What servers say of themselves in responses, over sockets and in the tables."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import replace
 from functools import partial
 
@@ -12,6 +13,8 @@
     Input,
     PeerMessageReceived,
     ServerLeavingReported,
+    ServerListing,
+    ServerPauseReported,
     ServersListed,
 )
 from rhubarbspan.peer_messages import Heartbeat
@@ -88,10 +91,10 @@
 
 @pytest.mark.parametrize("change", [_stay_silent, _stay_ready, _lapse])
 def test_requests_reach_a_server_that_said_it_leaves_while_the_list_says_ready(
-    site: PlatformSite, change: object
+    site: PlatformSite, change: Callable[[PlatformSite, PlatformServerStandIn], None]
 ) -> None:
     server = _hear_leaving(site)
-    change(site, server)  # type: ignore[operator]
+    change(site, server)
     site.run(asyncio.sleep(LEAVING_S))
     for number in range(4):
         assert _look(site, str(number)) == 200
@@ -126,11 +129,47 @@
     assert not _row(site, server).has_said_leaving
 
 
-def _list(world: World, now_s: float, *listings: object) -> None:
-    run_tick(world, now_s, [ServersListed("shop", list(listings))])  # type: ignore
+PAUSE_S = 2.0
 
 
-def _listings(**changes: object) -> list[object]:
+@pytest.mark.parametrize(
+    ("fault", "body"),
+    [(Fault.SHED, b""), (Fault.SHED, b"x" * 1_500_000), (Fault.UNAVAILABLE, b"")],
+    ids=["not-run", "streamed-body", "may-have-run"],
+)
+def test_servers_get_requests_within_the_pause_that_they_asked_for(
+    site: PlatformSite, fault: Fault, body: bytes
+) -> None:
+    for server in site.servers:
+        server.faults, server.retry_after = [fault], str(PAUSE_S)
+    method = "POST" if body else "GET"
+    for number in range(20):
+        if any(server.faults for server in site.servers):
+            site.send(f"/{'put' if body else 'look'}/{number}", method, body)
+    asked_s = site.loop.time()
+    n_runs = [len(server.requests) for server in site.servers]
+    while site.loop.time() < asked_s + 0.4 * PAUSE_S:
+        assert _look(site, "within") == 503
+        site.run(asyncio.sleep(0.1))
+    assert [len(server.requests) for server in site.servers] == n_runs
+    site.run(asyncio.sleep(asked_s + PAUSE_S + 0.1 - site.loop.time()))
+    assert _look(site, "after") == 200
+
+
+def test_malformed_pause_is_taken_for_one(site: PlatformSite) -> None:
+    for server in site.servers:
+        server.faults, server.retry_after = [Fault.UNAVAILABLE], "soon"
+    assert _look(site, "first") == 503
+    world = site.instances[0].world
+    assert world.counters["malformed_retry_after", ""] == 1
+    assert not world.counters["server_pauses", ""]
+
+
+def _list(world: World, now_s: float, *listings: ServerListing) -> None:
+    run_tick(world, now_s, [ServersListed("shop", list(listings))])
+
+
+def _listings(**changes: object) -> list[ServerListing]:
     """Return the listings of all servers, with fields of the first one changed."""
     first = listing(0, **changes)  # type: ignore[arg-type]
     return [first, *(listing(number) for number in range(1, N_SERVERS))]
@@ -205,6 +244,41 @@
     assert _is_leaving(third, attempt.server_id)
 
 
+def _pause_all(world: World, now_s: float, pause_s: float) -> None:
+    servers = [f"i-{number}" for number in range(N_SERVERS)]
+    run_tick(world, now_s, [ServerPauseReported(name, 1, pause_s) for name in servers])
+
+
+def test_pause_is_forgotten_while_a_record_lapsed_or_cut_short_by_a_shorter_one() -> (
+    None
+):
+    world = make_world("n-1")
+    _pause_all(world, START_S + 2, 5.0)
+    _pause_all(world, START_S + 2, 0.2)
+    _list(world, START_S + 3, *_listings()[1:])
+    run_tick(world, START_S + 3.5, [])
+    _list(world, START_S + 4, *_listings())
+    assert not started(arrive(world, START_S + 6.9, 1, "17"))
+    assert started(arrive(world, START_S + 7.1, 2, "17"))
+    run_tick(world, START_S + 8, [])
+    assert not world.announcements.rows()
+
+
+def test_pause_of_a_process_holds_for_its_successor() -> None:
+    world = make_world("n-1")
+    _pause_all(world, START_S + 2, 5.0)
+    _list(world, START_S + 3, *_listings(incarnation=2))
+    (attempt,) = started(arrive(world, START_S + 3.1, 1, "17"))
+    assert attempt.server_id == "i-0"
+
+
+def test_queued_request_is_not_sent_when_the_pause_ends() -> None:
+    world = make_world("n-1")
+    _pause_all(world, START_S + 2, 0.05)
+    assert not started(arrive(world, START_S + 2.01, 1, "17"))
+    assert started(run_tick(world, START_S + 2.05, []))
+
+
 def _heartbeats(world: World, now_s: float) -> list[Input]:
     """Return the heartbeats that are due, as they arrive at the other side."""
     sent = [
