Refuse requests at once that no server can take

Requests waited for a fifth of their objective although it was known that no server could take them before: all were leaving, evacuated, paused for longer, outside the regions that are allowed, or had been tried. Only then came 503, with a Retry-After that said nothing of when a server would be usable.

A request is now kept queued only if some server may take it before the wait is over; an instance that has read no list of servers yet knows none to be missing. Otherwise it is refused at once as not run. Retry-After is the shortest pause that is left, plus up to half of it so that callers do not return all at once, the more urgent first, and of equally urgent ones those with the least time left. If nothing is known, it is the present value; it grows by the wait that is left out, since a sooner attempt would find the same servers.

--- a/src/rhubarbspan/systems/placement.py
+++ b/src/rhubarbspan/systems/placement.py
@@ -27,6 +27,7 @@
 from ..tables.servers import ServerRow
 from ..verdict import NotRun, Reason
 from ..world import World
+from .availability import earliest_usable_s, return_delay_s
 from .bucketing import rendezvous_score
 from .completion import fail_request
 from .fleet_layout import known_seats
@@ -84,7 +85,6 @@
 INITIAL_WARM_OBJECTIVE_FRACTION = 0.5
 INITIAL_COLD_OBJECTIVE_FRACTION = 1.0
 COLD_RATE_WINDOW_S = 1.0
-RETRY_AFTER_S = 0.4
 
 
 @dataclass(slots=True)
@@ -135,7 +135,10 @@
 
 
 def place_requests(world: World, now_s: float, pool: Pool, queue: QueueRow) -> Effects:
-    """Send each waiting request to its best server, refuse it, or keep it queued."""
+    """Send each waiting request to its best server, refuse it, or keep it queued.
+
+    It is kept queued only if a slot may become free in time.
+    """
     effects: Effects = []
     waiting: list[RequestRow] = []
     while (row := pop_next_request(world, queue)) is not None:
@@ -153,9 +156,10 @@
         candidate = find_candidate(world, now_s, pool, row)
         if candidate is not None:
             effects += _start_attempt(world, now_s, pool, queue, row, candidate)
-        elif now_s >= _wait_until_s(row):
+        elif not _may_be_placed_later(world, now_s, row):
             verdict = row.last_verdict or NotRun(Reason.NO_SERVER)
-            retry_s = RETRY_AFTER_S * (0.5 + world.rng.random())
+            unused_wait_s = max(0.0, _wait_until_s(row) - now_s)
+            retry_s = return_delay_s(world, now_s, row, unused_wait_s)
             effects += fail_request(world, now_s, row, verdict, retry_s)
         else:
             deferred.append(row)
@@ -165,6 +169,13 @@
     return effects
 
 
+def _may_be_placed_later(world: World, now_s: float, row: RequestRow) -> bool:
+    until_s = _wait_until_s(row)
+    if now_s >= until_s:
+        return False
+    return earliest_usable_s(world, now_s, row, row.tried) < until_s
+
+
 def _wait_until_s(row: RequestRow) -> float:
     return min(
         row.deadline_s, row.queued_s + MAX_WAIT_FRACTION * row.route.latency_objective_s
