Do not reuse a connection whose server keeps it for less than a second

`Keep-Alive: timeout=0` counted as no statement: such a connection was reused for up to 8 s, for orders up to 2 s. The server closes it meanwhile, and an order that crosses the close ends as may have run.

Tell an absent timeout from 0. The tests fail on the code before: six orders in a row used two connections instead of six.

--- a/src/rhubarbspan/edge/upstream.py
+++ b/src/rhubarbspan/edge/upstream.py
@@ -316,7 +316,7 @@
         is_misdirected = head.status_code == MISDIRECTED
         if not is_misdirected:
             self._report_announcements(effect, head, fields)
-        if fields.keep_alive_s > 0:
+        if fields.keep_alive_s is not None:
             max_idle_s = max(0.0, fields.keep_alive_s - KEEPALIVE_MARGIN_S)
             connection.max_idle_s = min(MAX_IDLE_S, max_idle_s)
         is_not_run = fields.is_not_run or is_misdirected
--- a/src/rhubarbspan/platform/headers.py
+++ b/src/rhubarbspan/platform/headers.py
@@ -91,8 +91,8 @@
             that the server made.
         load: Running requests, queued requests and slots of the server, or None if the
             header is absent or malformed.
-        keep_alive_s: How long the server keeps an idle connection open, in seconds, or
-            0 if it does not say.
+        keep_alive_s: How long the server keeps an idle connection open, in whole
+            seconds, or None if it does not say.
         is_leaving: Whether the server states that it is leaving.
         retry_after_s: Time for which the server wants no requests, at most
             ``MAX_RETRY_AFTER_S``; 0 if absent, -1 if malformed.
@@ -103,7 +103,7 @@
     is_not_run: bool
     is_encoded: bool
     load: tuple[int, int, int] | None
-    keep_alive_s: float
+    keep_alive_s: float | None
     is_leaving: bool
     retry_after_s: float
 
@@ -174,7 +174,8 @@
     request_id = ""
     is_signed = is_not_run = is_encoded = is_leaving = False
     load: tuple[int, int, int] | None = None
-    keep_alive_s = retry_after_s = 0.0
+    keep_alive_s: float | None = None
+    retry_after_s = 0.0
     for name, value in headers:
         if name == REQUEST_ID:
             request_id = value.decode("latin-1")
@@ -212,12 +213,12 @@
     return running, waiting, slots
 
 
-def _parse_keep_alive_s(value: bytes) -> float:
+def _parse_keep_alive_s(value: bytes) -> float | None:
     for part in value.split(b","):
         name, _, content = part.strip().partition(b"=")
         if name.lower() == b"timeout" and content.isdigit():
             return float(content)
-    return 0.0
+    return None
 
 
 def _parse_retry_after_s(value: bytes) -> float:
--- a/src/rhubarbspan/standins/platform_server.py
+++ b/src/rhubarbspan/standins/platform_server.py
@@ -57,6 +57,8 @@
         service_s: Service time of each request.
         response_bytes: Least size of a response's body.
         is_leaving: Whether each response says that the server is leaving.
+        keep_alive: Value of the header in successful responses, or an empty string
+            for none.
         retry_after: Value of the header in responses with status 503, or an empty
             string for none.
         runs: Number of runs by request ID.
@@ -72,6 +74,7 @@
     service_s: float = 0.0
     response_bytes: int = 40
     is_leaving: bool = False
+    keep_alive: str = ""
     retry_after: str = ""
     runs: Counter[str] = field(default_factory=Counter)
     requests: list[tuple[bytes, bytes, dict[bytes, bytes], bytes]] = field(
@@ -234,7 +237,7 @@
             f"X-Request-Id: {request_id}\r\n"
             f"X-Response-Signature: sig.{self.server_id}.{request_id}\r\n"
             "X-Server-Load: 1,0,3\r\n"
-            f"{self._leaving_header()}"
+            f"{self._leaving_header()}{self._keep_alive_header()}"
             f"Content-Length: {len(body)}\r\n\r\n"
         )
         return head.encode() + body
@@ -252,6 +255,9 @@
     def _leaving_header(self) -> str:
         return "Server-Leaving: 1\r\n" if self.is_leaving else ""
 
+    def _keep_alive_header(self) -> str:
+        return f"Keep-Alive: {self.keep_alive}\r\n" if self.keep_alive else ""
+
     def _retry_header(self) -> str:
         return f"Retry-After: {self.retry_after}\r\n" if self.retry_after else ""
 
--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -197,6 +197,17 @@
     _assert_own(site.send("/look/after"), "/look/after")
 
 
+# A timeout below one second has no whole seconds.
+def test_connection_that_the_server_soon_closes_is_used_for_an_order(
+    site: PlatformSite,
+) -> None:
+    for server in site.servers:
+        server.keep_alive = "timeout=0"
+    for number in range(6):
+        _assert_own(site.send(f"/order/{number}", "POST", b"b"), f"/order/{number}")
+    assert sum(server.n_connections for server in site.servers) == 6
+
+
 def test_unframed_answer_that_ends_cleanly_is_whole(site: PlatformSite) -> None:
     _set_faults(site, Fault.UNFRAMED)
     _assert_own(site.send("/look/x"), "/look/x")
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -315,6 +315,9 @@
     )
     assert fields.load == (3, 1, 8)
     assert fields.keep_alive_s == 9.0
+    keep_alive = [(b"keep-alive", b"timeout=0")]
+    assert parse_response_headers(keep_alive).keep_alive_s == 0.0
+    assert parse_response_headers([]).keep_alive_s is None
     assert fields.is_signed
     assert not fields.is_not_run
     assert parse_response_headers([(b"x-server-load", b"many")]).load is None
