Do not take the load in a 421 for that of the expected server

After the address of a server was given to another one, the load in the 421 of that one counted as the load of the expected server, and a full one made the expected server look full for a second. The 421 is not its response: report what a response says of its server only if it is not one. The test fails on the code before: both servers had requests of others.

--- a/src/rhubarbspan/edge/upstream.py
+++ b/src/rhubarbspan/edge/upstream.py
@@ -259,6 +259,8 @@
         """Report what the server says of itself in the head of its response."""
         inputs = self._ticker.inputs
         server_id, incarnation = effect.server_id, effect.incarnation
+        if fields.load is not None:
+            inputs.on_next(ServerLoadReported(server_id, *fields.load))
         if fields.is_leaving:
             inputs.on_next(ServerLeavingReported(server_id, incarnation))
             self._close_idle(effect.address)
@@ -309,10 +311,6 @@
         exchange: Exchange,
     ) -> tuple[Outcome, bool]:
         head, fields = await _read_head(transfer, connection.channel, exchange)
-        if fields.load is not None:
-            self._ticker.inputs.on_next(
-                ServerLoadReported(effect.server_id, *fields.load)
-            )
         is_misdirected = head.status_code == MISDIRECTED
         if not is_misdirected:
             self._report_announcements(effect, head, fields)
--- a/src/rhubarbspan/standins/platform_server.py
+++ b/src/rhubarbspan/standins/platform_server.py
@@ -11,6 +11,8 @@
 import h11
 
 READ_BYTES = 65_536
+# Header of responses to misdirected requests.
+FULL_LOAD = "X-Server-Load: 3,9,3\r\n"
 
 
 class Fault(Enum):
@@ -248,7 +250,8 @@
         return (
             f"HTTP/1.1 {status}\r\nX-Request-Id: {request_id}\r\n"
             f"X-Not-Executed: 1\r\nX-Instance-Id: {self.server_id}\r\n"
-            f"{self._leaving_header()}{self._retry_header() if is_shed else ''}"
+            f"{self._leaving_header()}"
+            f"{self._retry_header() if is_shed else FULL_LOAD}"
             "Content-Length: 0\r\n\r\n"
         ).encode()
 
--- a/tests/test_server_announcements.py
+++ b/tests/test_server_announcements.py
@@ -129,6 +129,15 @@
     assert not _row(site, server).has_said_leaving
 
 
+def test_load_of_the_server_that_has_the_address_now_counts_as_the_other_ones(
+    site: PlatformSite,
+) -> None:
+    for server in site.servers:
+        server.faults = [Fault.MISDIRECTED]
+    assert _look(site, "first") == 503
+    assert all(_row(site, server).n_others == 0 for server in site.servers)
+
+
 PAUSE_S = 2.0
 
 
