--- a/src/rhubarbspan/edge/upstream.py
+++ b/src/rhubarbspan/edge/upstream.py
@@ -15,12 +15,15 @@
     ConnectionLost,
     Misdirected,
     Outcome,
+    ServerLeavingReported,
     ServerLoadReported,
+    ServerPauseReported,
     Shed,
     TimedOut,
 )
 from ..platform.headers import (
     MISDIRECTED,
+    SERVICE_UNAVAILABLE,
     ResponseFields,
     forwarded_request_headers,
     parse_response_headers,
@@ -86,6 +89,7 @@
     Attributes:
         parser: State of the HTTP protocol.
         is_sent: Whether the server may have received any byte.
+        is_server_leaving: Whether the server said so in its response.
         n_unsolicited_responses: Responses to other requests that were skipped.
         n_interim_responses: Interim responses (status 1xx) that were skipped.
     """
@@ -93,7 +97,7 @@
     parser: h11.Connection
     request: h11.Request
     is_sent: bool = False
-    is_reusable: bool = False
+    is_server_leaving: bool = False
     n_unsolicited_responses: int = 0
     n_interim_responses: int = 0
 
@@ -254,6 +258,30 @@
         if len(rows) > N_MAX_IDLE_PER_SERVER:
             rows[0].channel.abort()
 
+    def _report_announcements(
+        self, effect: StartAttempt, head: h11.Response, fields: ResponseFields
+    ) -> None:
+        """Report what the server says of itself in the head of its response."""
+        inputs = self._ticker.inputs
+        server_id, incarnation = effect.server_id, effect.incarnation
+        if fields.load is not None:
+            inputs.on_next(ServerLoadReported(server_id, *fields.load))
+        if fields.is_leaving:
+            inputs.on_next(ServerLeavingReported(server_id, incarnation))
+            self._close_idle(effect.address)
+        if head.status_code != SERVICE_UNAVAILABLE:
+            return
+        if fields.retry_after_s < 0:
+            self._ticker.world.count("malformed_retry_after")
+        elif fields.retry_after_s > 0:
+            pause_s = fields.retry_after_s
+            inputs.on_next(ServerPauseReported(server_id, incarnation, pause_s))
+
+    def _close_idle(self, address: str) -> None:
+        for connection in self._idle.rows.pop(address, []):
+            connection.channel.on_change = None
+            connection.channel.abort()
+
     async def _exchange(
         self,
         transfer: Transfer,
@@ -281,6 +309,7 @@
             _is_reusable(exchange)
             and not channel.has_unread
             and bool(transfer.caller_request_id)
+            and not exchange.is_server_leaving
             and len(connection.refused_ids) < N_MAX_REFUSALS_PER_CONNECTION
         )
         return outcome, is_reusable
@@ -293,20 +322,20 @@
         exchange: Exchange,
     ) -> Outcome:
         head, fields = await _read_head(transfer, connection.channel, exchange)
-        if fields.load is not None:
-            self._ticker.inputs.on_next(
-                ServerLoadReported(effect.server_id, *fields.load)
-            )
-        if fields.keep_alive_s > 0:
+        is_misdirected = head.status_code == MISDIRECTED
+        if not is_misdirected:
+            self._report_announcements(effect, head, fields)
+        if fields.keep_alive_s is not None:
             max_idle_s = max(0.0, fields.keep_alive_s - KEEPALIVE_MARGIN_S)
             connection.max_idle_s = min(MAX_IDLE_S, max_idle_s)
-        is_not_run = fields.is_not_run or head.status_code == MISDIRECTED
+        is_not_run = fields.is_not_run or is_misdirected
         if not is_not_run:
             _check_response(head, fields)
         body = await self._read_body(transfer, connection.channel, exchange, head)
+        exchange.is_server_leaving = fields.is_leaving
         if is_not_run:
             connection.refused_ids.add(transfer.caller_request_id)
-        if head.status_code == MISDIRECTED:
+        if is_misdirected:
             return Misdirected()
         if is_not_run:
             return Shed()
--- a/src/rhubarbspan/inputs.py
+++ b/src/rhubarbspan/inputs.py
@@ -185,6 +185,32 @@
     n_slots: int
 
 
+@dataclass(slots=True)
+class ServerLeavingReported:
+    """A backend server stated in a response that it is leaving.
+
+    Attributes:
+        incarnation: Incarnation that the request was sent to.
+    """
+
+    server_id: str
+    incarnation: int
+
+
+@dataclass(slots=True)
+class ServerPauseReported:
+    """A backend server asked this instance to send nothing for some time.
+
+    Attributes:
+        incarnation: Incarnation that the request was sent to.
+        pause_s: That time, from now on.
+    """
+
+    server_id: str
+    incarnation: int
+    pause_s: float
+
+
 @dataclass(slots=True)
 class StoreRead:
     """This instance read from the store."""
@@ -332,6 +358,8 @@
     | ServersUnchanged
     | EvacuationsListed
     | ServerLoadReported
+    | ServerLeavingReported
+    | ServerPauseReported
     | StoreRead
     | StoreRecovered
     | PeersListed
--- a/src/rhubarbspan/platform/headers.py
+++ b/src/rhubarbspan/platform/headers.py
@@ -1,6 +1,7 @@
 """Parses and builds the headers of requests and responses on the platform."""
 
 import hashlib
+import re
 from dataclasses import dataclass
 
 from ..verdict import Answered, MayHaveRun, NotRun, Reason, Verdict
@@ -18,9 +19,15 @@
 SIGNATURE = b"x-response-signature"
 NOT_RUN = b"x-not-executed"
 LOAD = b"x-server-load"
+# Present with the value 1 in all responses of a backend server that is leaving.
+SERVER_LEAVING = b"server-leaving"
 AFFINITY_COOKIE = b"x-affinity-key"
+RETRY_AFTER = b"retry-after"
 MISDIRECTED = 421
 MS_PER_S = 1000.0
+# A server that asks for a longer pause gets one of this length.
+MAX_RETRY_AFTER_S = 3600.0
+SECONDS = re.compile(rb"\d+(\.\d+)?")
 
 # Headers that concern only one connection.
 CONNECTION_HEADERS = frozenset(
@@ -84,8 +91,11 @@
             that the server made.
         load: Running requests, queued requests and slots of the server, or None if the
             header is absent or malformed.
-        keep_alive_s: How long the server keeps an idle connection open, in seconds, or
-            0 if it does not say.
+        keep_alive_s: How long the server keeps an idle connection open, in whole
+            seconds, or None if it does not say.
+        is_leaving: Whether the server states that it is leaving.
+        retry_after_s: Time for which the server wants no requests, at most
+            ``MAX_RETRY_AFTER_S``; 0 if absent, -1 if malformed.
     """
 
     caller_request_id: str
@@ -93,7 +103,9 @@
     is_not_run: bool
     is_encoded: bool
     load: tuple[int, int, int] | None
-    keep_alive_s: float
+    keep_alive_s: float | None
+    is_leaving: bool
+    retry_after_s: float
 
 
 def parse_request_headers(headers: Headers) -> RequestFields:
@@ -160,9 +172,10 @@
 def parse_response_headers(headers: Headers) -> ResponseFields:
     """Parse the headers of a backend server's response, names in lower case."""
     request_id = ""
-    is_signed = is_not_run = is_encoded = False
+    is_signed = is_not_run = is_encoded = is_leaving = False
     load: tuple[int, int, int] | None = None
-    keep_alive_s = 0.0
+    keep_alive_s: float | None = None
+    retry_after_s = 0.0
     for name, value in headers:
         if name == REQUEST_ID:
             request_id = value.decode("latin-1")
@@ -176,8 +189,19 @@
             load = _parse_load(value)
         elif name == b"keep-alive":
             keep_alive_s = _parse_keep_alive_s(value)
+        elif name == SERVER_LEAVING:
+            is_leaving = value.strip() == b"1"
+        elif name == RETRY_AFTER:
+            retry_after_s = _parse_retry_after_s(value)
     return ResponseFields(
-        request_id, is_signed, is_not_run, is_encoded, load, keep_alive_s
+        request_id,
+        is_signed,
+        is_not_run,
+        is_encoded,
+        load,
+        keep_alive_s,
+        is_leaving,
+        retry_after_s,
     )
 
 
@@ -189,12 +213,18 @@
     return running, waiting, slots
 
 
-def _parse_keep_alive_s(value: bytes) -> float:
+def _parse_keep_alive_s(value: bytes) -> float | None:
     for part in value.split(b","):
         name, _, content = part.strip().partition(b"=")
         if name.lower() == b"timeout" and content.isdigit():
             return float(content)
-    return 0.0
+    return None
+
+
+def _parse_retry_after_s(value: bytes) -> float:
+    if SECONDS.fullmatch(value.strip()) is None:
+        return -1.0
+    return min(float(value), MAX_RETRY_AFTER_S)
 
 
 def forwarded_response_headers(headers: Headers) -> Headers:
@@ -217,7 +247,7 @@
         case NotRun(reason=reason):
             status = NOT_RUN_STATUS.get(reason, SERVICE_UNAVAILABLE)
             if retry_after_s > 0:
-                headers.append((b"retry-after", f"{retry_after_s:.3f}".encode()))
+                headers.append((RETRY_AFTER, f"{retry_after_s:.3f}".encode()))
         case MayHaveRun(reason=reason):
             status = MAY_HAVE_RUN_STATUS.get(reason, BAD_GATEWAY)
         case Answered():
--- a/src/rhubarbspan/systems/health.py
+++ b/src/rhubarbspan/systems/health.py
@@ -23,6 +23,7 @@
 from ..record_checks import MAX_COLD_S
 from ..tables.servers import ServerRow
 from ..world import World
+from .announcements import LeavingSource, apply_announcements, report_leaving
 from .slots import N_PROBES_TO_FAIL, assign_servers
 
 N_LIVE_LISTINGS_TO_REJOIN = 3
@@ -91,7 +92,7 @@
         if known is None:
             add_server(world, now_s, server)
         else:
-            effects += _refresh_server(known, server)
+            effects += _refresh_server(world, known, server)
         current = world.servers.get(server.server_id)
         if current is not None:
             effects += apply_record(world, now_s, current, server)
@@ -131,7 +132,9 @@
         row.n_others = 0.0
         row.failure_rate = 0.0
         row.ejected_until_s = -1e9
+        row.shed_until_s = -1e9
         world.objects.forget_server(row.server_id)
+    apply_announcements(world, row)
     if row.pool != server.pool or row.data_centre != server.data_centre:
         world.servers.remove(row)
         row.pool = server.pool
@@ -210,10 +213,11 @@
     world.servers.never_used[row.server_id] = None
 
 
-def _refresh_server(row: ServerRow, server: ServerListing) -> Effects:
+def _refresh_server(world: World, row: ServerRow, server: ServerListing) -> Effects:
     """Apply a listing to a known server.
 
-    A server that was listed as leaving counts as leaving until it has rejoined.
+    A server that was listed as leaving counts as leaving until it has rejoined. One
+    that has said so in a response cannot rejoin, see ``announcements``.
     Listings lag, so one live listing after a leaving one may be outdated: rejoining
     takes a new generation of the process, or several live listings in a row.
     """
@@ -225,8 +229,9 @@
             return []
         row.is_listed_leaving = True
         row.leaving_generation = row.generation
-        text = f"backend server {row.server_id} is leaving"
-        return [LogChange(LogLevel.INFO, text)]
+        return report_leaving(
+            world, row.server_id, server.incarnation, LeavingSource.LIST
+        )
     if not row.is_listed_leaving:
         return []
     row.n_live_listings += 1
