--- a/src/rhubarbspan/edge/daemon.py
+++ b/src/rhubarbspan/edge/daemon.py
@@ -16,6 +16,7 @@
     LogChange,
     LogLevel,
     LogRequest,
+    ReopenPeerLink,
     SendPeerMessage,
     StartAttempt,
     WriteClaim,
@@ -143,6 +144,8 @@
                 self._backend.abort(effect)
             case SendPeerMessage():
                 self._peers.send(effect)
+            case ReopenPeerLink():
+                self._peers.reopen(effect)
             case WriteClaim():
                 self._platform.claim(effect)
             case LogRequest(event=event, request=request, fields=fields):
--- a/src/rhubarbspan/edge/instance.py
+++ b/src/rhubarbspan/edge/instance.py
@@ -22,6 +22,7 @@
     LogChange,
     LogLevel,
     LogRequest,
+    ReopenPeerLink,
     SendPeerMessage,
     SetStoreAccess,
     StartAttempt,
@@ -214,6 +215,8 @@
                 self._upstream.abort(effect)
             case SendPeerMessage():
                 self._peers.send(effect)
+            case ReopenPeerLink():
+                self._peers.reopen(effect)
             case SetStoreAccess(access=access):
                 self._feed.set_access(access)
             case ApplyStoreUpdate(update=update):
--- a/src/rhubarbspan/edge/peers.py
+++ b/src/rhubarbspan/edge/peers.py
@@ -6,7 +6,7 @@
 import grpc
 import grpc.aio
 
-from ..effects import SendPeerMessage
+from ..effects import ReopenPeerLink, SendPeerMessage
 from ..inputs import PeerMessageReceived
 from ..verdict import Failure
 from ..wire.peer import (
@@ -22,6 +22,11 @@
 METHOD = "Send"
 RECONNECT_DELAY_S = 0.5
 N_MAX_QUEUED_MESSAGES = 1000
+# A connection is probed when nothing was received for the first time, and closed when
+# the probe, or what was sent, is not acknowledged within the second. Together they are
+# well below the time for which the demand of a silent peer counts.
+KEEPALIVE_IDLE_MS = 2000
+KEEPALIVE_TIMEOUT_MS = 1500
 OPTIONS = [
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
@@ -29,7 +34,13 @@
     ("grpc.enable_http_proxy", 0),
     ("grpc.initial_reconnect_backoff_ms", 200),
     ("grpc.max_reconnect_backoff_ms", 1000),
-    ("grpc.keepalive_time_ms", 10_000),
+    ("grpc.keepalive_time_ms", KEEPALIVE_IDLE_MS),
+    ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
+    # A stream sends in one direction only, so that probes often go without data.
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.http2.max_ping_strikes", 0),
+    # A new channel must not take over the connection of a silent one.
+    ("grpc.use_local_subchannel_pool", 1),
 ]
 
 
@@ -83,12 +94,13 @@
 class PeerTransport:
     """Sends messages to other instances and receives theirs."""
 
-    __slots__ = ("_ticker", "_server", "_streams", "n_bytes_sent")
+    __slots__ = ("_ticker", "_server", "_streams", "_closing", "n_bytes_sent")
 
     def __init__(self, ticker: Ticker) -> None:
         self._ticker = ticker
         self._server: grpc.aio.Server | None = None
         self._streams: dict[str, PeerStream] = {}
+        self._closing: set[asyncio.Task[None]] = set()
         self.n_bytes_sent = 0
 
     async def start(self, address: str) -> Failure | None:
@@ -109,6 +121,7 @@
         """Close all streams."""
         for stream in self._streams.values():
             await stream.close()
+        await asyncio.gather(*self._closing, return_exceptions=True)
         if self._server is not None:
             await self._server.stop(None)
 
@@ -119,7 +132,7 @@
             return
         stream = self._streams.get(effect.seat)
         if stream is not None and stream.address != row.peer_address:
-            asyncio.get_running_loop().create_task(stream.close())
+            self._discard(effect.seat)
             stream = None
         if stream is None:
             stream = PeerStream(row.peer_address)
@@ -132,6 +145,16 @@
         if not stream.send(data):
             world.count("peer_messages_dropped")
 
+    def reopen(self, effect: ReopenPeerLink) -> None:
+        """Discard the connection to an instance; the next message opens a new one."""
+        if effect.seat in self._streams:
+            self._discard(effect.seat)
+
+    def _discard(self, seat: str) -> None:
+        task = asyncio.create_task(self._streams.pop(seat).close())
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
     async def _receive(
         self, frames: AsyncIterator[bytes], context: grpc.aio.ServicerContext
     ) -> bytes:
--- a/src/rhubarbspan/effects.py
+++ b/src/rhubarbspan/effects.py
@@ -57,6 +57,13 @@
     message: PeerMessage
 
 
+@dataclass(slots=True)
+class ReopenPeerLink:
+    """Replace the connection to another entry instance, which has gone silent."""
+
+    seat: str
+
+
 class StoreAccess(Enum):
     """How an instance learns what the store holds."""
 
@@ -141,6 +148,7 @@
     | StartAttempt
     | AbortAttempt
     | SendPeerMessage
+    | ReopenPeerLink
     | SetStoreAccess
     | ApplyStoreUpdate
     | WriteClaim
--- a/src/rhubarbspan/peer_messages.py
+++ b/src/rhubarbspan/peer_messages.py
@@ -85,6 +85,8 @@
         is_two_level: Whether the sender sends heartbeats only inside its data centre.
         knows_servers: Whether the sender knows any backend server. Earlier versions do
             not send it.
+        presence_digest: Digest of the instances of its data centre that hear the sender
+            and are heard by it, 0 from earlier versions.
     """
 
     seat: str
@@ -108,6 +110,7 @@
     responses: dict[str, list[int]] = field(default_factory=dict)
     is_two_level: bool = False
     knows_servers: bool = True
+    presence_digest: int = 0
 
 
 @dataclass(slots=True)
@@ -349,6 +352,7 @@
         handled: Objects that the data centre sent to servers since the last summary,
             as in a heartbeat.
         responses: What responses since then show, as in a heartbeat.
+        unheard: Data centres of which the sender has no recent figures.
     """
 
     seat: str
@@ -363,6 +367,7 @@
     age_s: float = 0.0
     handled: dict[int, list[int]] = field(default_factory=dict)
     responses: dict[str, list[int]] = field(default_factory=dict)
+    unheard: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/src/rhubarbspan/systems/demand_fractions.py
+++ b/src/rhubarbspan/systems/demand_fractions.py
@@ -7,23 +7,25 @@
 others request their tokens from it: divided further, a small limit would leave less
 than one request to each instance. Limits that are too small even for that are kept by
 one data centre, see ``limit_keepers``. All instances of a data centre choose the same
-holder by rendezvous hashing over those that they hear. An instance that hears only
-some of them refills only their part, so that the parts of a divided data centre do not
-exceed the whole.
+holder by rendezvous hashing over those that hear each other. While some do not, each
+group of instances that see the same ones has a holder, which refills the part of the
+group's own demand. See ``confirmations`` for what keeps the sum of the parts.
 """
 
 from collections import Counter, deque
 
 from ..tables.buckets import BucketRow
+from ..tables.data_centres import DataCentreRow
 from ..tables.peers import PeerRow
 from ..world import World
-from .bucketing import smoothed_demand_per_s
-from .fleet_layout import (
-    N_HEARTBEATS_PER_SUMMARY,
-    N_RELAYS,
-    is_two_level,
-    local_peers,
+from .confirmations import (
+    DEMAND_RETENTION_S,
+    agreeing_peers,
+    exchanges_heartbeats,
+    is_cut_off,
+    may_refill,
 )
+from .fleet_layout import N_HEARTBEATS_PER_SUMMARY, N_RELAYS, is_two_level
 from .limit_keepers import (
     choose_holder,
     choose_keeper,
@@ -37,11 +39,6 @@
 # demand would hold a sixth of a limit of three requests per second.
 MIN_DEMAND_PER_S = 0.3
 MIN_DEMAND_FRACTION = 0.02
-# The demand of a silent peer counts for this long, longer than any lease lasts.
-DEMAND_RETENTION_S = 7.0
-# Silence, as a fraction of that after which an instance counts as dead, after which it
-# is no longer the holder of limits: requests wait for its tokens.
-HOLDER_SILENCE_FRACTION = 0.7
 # Below this fraction of the data centre's instances, not even one token is kept for
 # each account: the parts of a divided data centre could together keep too many.
 MIN_PRESENT_FRACTION = 0.5
@@ -62,21 +59,21 @@
         for bucket in world.buckets.rows():
             bucket.n_tokens = 0.0
     division.updated_s = now_s
-    counted = [row for row in world.peers.rows() if _may_refill(row, now_s)]
+    counted = [row for row in world.peers.rows() if may_refill(row, now_s)]
     own_data_centre = world.identity.data_centre
     n_counted: Counter[str] = Counter(row.data_centre for row in counted)
     n_counted[own_data_centre] += 1
     division.n_data_centres = len(n_counted)
-    present = _present_peers(world, now_s)
-    division.present_fraction = (1 + len(present)) / n_counted[own_data_centre]
-    holders = _possible_holders(world, now_s, present, startup_s)
+    group = agreeing_peers(world, now_s)
+    division.present_fraction = (1 + len(group)) / n_counted[own_data_centre]
+    holders = _possible_holders(world, now_s, group, startup_s)
     reachable = reachable_rows(world, now_s, counted)
     is_alone = len(n_counted) > 1 and not reachable
+    has_lost_part = is_cut_off(world, now_s, counted)
     is_minority = 2 * (1 + len(reachable)) <= len(n_counted)
     accounts = world.configuration.client_accounts
     division.isolated.clear()
     for bucket in world.buckets.rows():
-        advertised_per_s = smoothed_demand_per_s(bucket, now_s)
         if is_kept_whole(world, accounts.get(bucket.account)):
             keeper = choose_keeper(bucket.account, n_counted)
             rows = reachable.get(keeper)
@@ -85,16 +82,17 @@
                 fraction = 0.0
             elif keeper == own_data_centre and not is_minority:
                 bucket.holder = choose_holder(bucket.account, holders, N_RELAYS)
-                fraction = 1.0
+                fraction = division.present_fraction
             else:
                 division.isolated.add(bucket.account)
                 bucket.holder = choose_holder(bucket.account, holders)
                 fraction = 0.0
+        elif has_lost_part:
+            division.isolated.add(bucket.account)
+            bucket.holder = choose_holder(bucket.account, holders)
+            fraction = 0.0
         else:
-            demands = _demand_by_data_centre(
-                world, now_s, bucket, counted, list(n_counted)
-            )
-            fraction = demands[own_data_centre] / sum(demands.values())
+            fraction = _fraction_of_demand(world, now_s, bucket, counted, group)
             fraction = _settled_fraction(world, bucket.account, fraction)
             known = division.fractions.get(bucket.account)
             if is_alone and known is not None:
@@ -102,12 +100,9 @@
                 # grow.
                 fraction = min(fraction, known)
             bucket.holder = choose_holder(bucket.account, holders)
-        bucket.advertised_demand_per_s = advertised_per_s
         division.fractions[bucket.account] = fraction
         is_holder = bucket.holder == world.identity.seat
-        world.demand_fractions[bucket.account] = (
-            fraction * division.present_fraction if is_holder else 0.0
-        )
+        world.demand_fractions[bucket.account] = fraction if is_holder else 0.0
 
 
 def _settled_fraction(world: World, account: str, fraction: float) -> float:
@@ -124,24 +119,6 @@
     return min(computed)
 
 
-def _may_refill(row: PeerRow, now_s: float) -> bool:
-    """Return whether an instance may still use its part of the limits."""
-    if row.is_alive:
-        return True
-    if row.is_leaving:
-        return False
-    return row.is_listed or now_s - row.last_heard_s < DEMAND_RETENTION_S
-
-
-def _present_peers(world: World, now_s: float) -> list[PeerRow]:
-    silence_s = HOLDER_SILENCE_FRACTION * world.policies.dead_after_s
-    return [
-        row
-        for row in local_peers(world)
-        if row.is_alive and now_s - row.last_heard_s < silence_s
-    ]
-
-
 def _possible_holders(
     world: World, now_s: float, present: list[PeerRow], startup_s: float
 ) -> list[str]:
@@ -156,44 +133,83 @@
     return seats or [world.identity.seat]
 
 
-def _demand_by_data_centre(
+def _fraction_of_demand(
     world: World,
     now_s: float,
     bucket: BucketRow,
     counted: list[PeerRow],
-    names: list[str],
-) -> dict[str, float]:
-    """Return the demand that each data centre counts with for an account.
+    group: list[PeerRow],
+) -> float:
+    """Return the demand of a group of instances as a fraction of the demand of all.
 
     It is the demand that the others have received by now, not the current one: when
     demand rises everywhere, the older figures of the others would otherwise look small
     to each data centre, and the fractions would sum to more than one.
+
+    Args:
+        world: The tables.
+        now_s: The present time.
+        bucket: The bucket of the account.
+        counted: The other instances that may refill.
+        group: Those of the own data centre that share a holder with this one.
     """
     own_data_centre = world.identity.data_centre
-    min_demand = _min_demand_per_s(world, bucket.account)
-    demands = dict.fromkeys(names, 0.0)
-    demands[own_data_centre] = bucket.advertised_demand_per_s
+    group_seats = {row.seat for row in group}
+    group_demand = bucket.claimed_demand_per_s
+    other_demand = 0.0
+    demands: dict[str, float] = {}
     unheard: set[str] = set()
     for row in counted:
-        reported = row.demands.get(bucket.account)
-        if reported is not None and now_s - row.demands_s < DEMAND_RETENTION_S:
-            demands[row.data_centre] += reported.rate_per_s
-        elif row.last_heard_s < 0 and row.data_centre != own_data_centre:
-            unheard.add(row.data_centre)
-    for name in names:
+        demand = _retained_demand_per_s(world, now_s, row, bucket.account)
+        if row.data_centre != own_data_centre:
+            demands[row.data_centre] = demands.get(row.data_centre, 0.0) + demand
+            if row.last_heard_s < 0:
+                unheard.add(row.data_centre)
+        elif row.seat in group_seats:
+            group_demand += demand
+        else:
+            other_demand += demand
+    min_demand = _min_demand_per_s(world, bucket.account)
+    own_demand = max(group_demand + other_demand, min_demand)
+    for name in demands:
         summary = world.data_centres.rows.get(name)
-        if name == own_data_centre or summary is None:
-            continue
-        # Of both layouts' figures the larger one counts while both are recent.
-        if now_s - summary.as_of_s < DEMAND_RETENTION_S:
+        if summary is not None and _is_in_use(world, now_s, summary, counted):
+            # Of both layouts' figures the larger one counts while both are recent.
             unheard.discard(name)
             demand = summary.demands.get(bucket.account, 0.0)
             demands[name] = max(demands[name], demand)
-    own_demand = max(demands[own_data_centre], min_demand)
-    for name in names:
         assumed = own_demand if name in unheard else min_demand
         demands[name] = max(demands[name], assumed)
-    return demands
+    present = world.limit_division.present_fraction
+    group_demand = max(group_demand, min_demand * present)
+    other_demand = max(other_demand, min_demand * (1.0 - present))
+    return group_demand / (group_demand + other_demand + sum(demands.values()))
+
+
+def _retained_demand_per_s(
+    world: World, now_s: float, row: PeerRow, account: str
+) -> float:
+    """Return the demand that a peer told last; it claims no more until it is heard."""
+    reported = row.demands.get(account)
+    is_recent = now_s - row.demands_s < DEMAND_RETENTION_S
+    if reported is None or not (is_recent or exchanges_heartbeats(world, row)):
+        return 0.0
+    return reported.rate_per_s
+
+
+def _is_in_use(
+    world: World, now_s: float, summary: DataCentreRow, counted: list[PeerRow]
+) -> bool:
+    """Return whether the demand in a summary counts.
+
+    That of a silent data centre counts on, unless its instances send heartbeats now.
+    """
+    if now_s - summary.as_of_s < DEMAND_RETENTION_S:
+        return True
+    return summary.as_of_s > -1e9 and not any(
+        row.data_centre == summary.name and exchanges_heartbeats(world, row)
+        for row in counted
+    )
 
 
 def _min_demand_per_s(world: World, name: str) -> float:
--- a/src/rhubarbspan/systems/membership.py
+++ b/src/rhubarbspan/systems/membership.py
@@ -14,7 +14,8 @@
 )
 from ..tables.peers import PeerRow
 from ..world import World
-from .bucketing import holds_delegated_shares, smoothed_demand_per_s
+from .bucketing import holds_delegated_shares
+from .confirmations import advertise_demands, presence_digest, present_peers
 from .fleet_layout import (
     N_HEARTBEATS_PER_SUMMARY,
     choose_layout,
@@ -110,6 +111,12 @@
         return []
     if is_new_incarnation:
         row.started_s = now_s - heartbeat.uptime_s
+        # It has not heard any earlier figures.
+        row.confirmed_s = now_s
+    if heartbeat.echoed_incarnation == world.identity.incarnation:
+        sent_s = world.heartbeats_sent_s.get(heartbeat.echoed_sequence)
+        if sent_s is not None:
+            row.confirmed_s = max(row.confirmed_s, sent_s)
     is_local = row.data_centre == world.identity.data_centre
     row.incarnation = heartbeat.incarnation
     row.sequence = heartbeat.sequence
@@ -117,6 +124,7 @@
     row.is_summarised = False
     row.is_two_level = heartbeat.is_two_level
     row.knows_servers = heartbeat.knows_servers
+    row.presence_digest = heartbeat.presence_digest
     row.revision = heartbeat.revision
     row.is_leaving = heartbeat.is_leaving
     row.address = heartbeat.address or row.address
@@ -164,6 +172,7 @@
 
 def _send_heartbeats(world: World, now_s: float) -> Effects:
     world.heartbeat_sequence += 1
+    advertise_demands(world, now_s)
     own = world.identity
     heartbeat = Heartbeat(
         seat=own.seat,
@@ -173,7 +182,7 @@
         is_leaving=world.departure is not None,
         config_age_s=min(config_age_s(world, now_s), MAX_CONFIG_AGE_S),
         loads=_describe_loads(world, now_s),
-        demands=_describe_demands(world, now_s),
+        demands=_describe_demands(world),
         suspects=_describe_suspects(world),
         data_centre=own.data_centre,
         address=own.address,
@@ -188,6 +197,7 @@
         responses=take_responses(world.objects.unsent_responses),
         is_two_level=is_two_level(world),
         knows_servers=bool(world.servers.rows()) or not world.configuration.pools,
+        presence_digest=presence_digest(world, present_peers(world, now_s)),
     )
     world.heartbeats_sent_s[world.heartbeat_sequence] = now_s
     world.heartbeats_sent_s.pop(world.heartbeat_sequence - N_HEARTBEATS_KEPT, None)
@@ -246,16 +256,15 @@
     return loads
 
 
-def _describe_demands(world: World, now_s: float) -> list[AccountDemand]:
+def _describe_demands(world: World) -> list[AccountDemand]:
     return [
         AccountDemand(
             row.account,
-            round(smoothed_demand_per_s(row, now_s), 3),
+            round(row.advertised_demand_per_s, 3),
             holds_delegated_shares(row),
         )
         for row in world.buckets.rows()
-        if smoothed_demand_per_s(row, now_s) > MIN_DEMAND_PER_S
-        or holds_delegated_shares(row)
+        if row.advertised_demand_per_s > MIN_DEMAND_PER_S or holds_delegated_shares(row)
     ]
 
 
--- /dev/null
+++ b/src/rhubarbspan/systems/peer_links.py
@@ -0,0 +1,49 @@
+"""Orders new connections to peers that no longer confirm heartbeats.
+
+A connection may go silent for good while new ones work. The transport's own probes
+may take long to show it, or not show it at all.
+"""
+
+from ..effects import Effects, ReopenPeerLink
+from ..inputs import Inbox, Timer
+from ..tables.peers import PeerRow
+from ..world import World
+from .confirmations import exchanges_heartbeats, may_refill
+from .fleet_layout import (
+    N_HEARTBEATS_PER_SUMMARY,
+    counterpart_relays,
+    is_two_level,
+    sends_summaries,
+)
+from .membership import heartbeat_receivers
+
+
+def renew_peer_links(world: World, now_s: float, inbox: Inbox) -> Effects:
+    """Order a new connection to each peer whose confirmations have ceased."""
+    if not inbox.due(Timer.HEARTBEAT):
+        return []
+    rows = heartbeat_receivers(world)
+    if is_two_level(world) and sends_summaries(world):
+        rows += counterpart_relays(world)
+    effects: Effects = []
+    for row in rows:
+        if not may_refill(row, now_s):
+            continue
+        if row.link_opened_s < 0:
+            row.link_opened_s = now_s
+        since_s = max(row.confirmed_s, row.link_opened_s)
+        if now_s - since_s > _silence_s(world, row):
+            row.link_opened_s = now_s
+            world.count("peer_links_renewed")
+            effects.append(ReopenPeerLink(row.seat))
+    return effects
+
+
+def _silence_s(world: World, row: PeerRow) -> float:
+    """Return how long a peer may confirm nothing before its connection is replaced."""
+    policies = world.policies
+    if exchanges_heartbeats(world, row):
+        return policies.dead_after_s
+    # Relays exchange heartbeats as rarely as summaries, and the answer may be as late.
+    interval_s = N_HEARTBEATS_PER_SUMMARY * policies.heartbeat_interval_s
+    return policies.dead_after_s + 2 * interval_s
--- a/src/rhubarbspan/systems/summaries.py
+++ b/src/rhubarbspan/systems/summaries.py
@@ -11,7 +11,7 @@
 from ..peer_messages import DataCentreSummary, MemberState
 from ..tables.peers import PeerRow
 from ..world import World
-from .bucketing import smoothed_demand_per_s
+from .confirmations import confirm_summary, may_refill, unheard_data_centres
 from .fleet_layout import (
     N_HEARTBEATS_PER_SUMMARY,
     counterpart_relays,
@@ -80,6 +80,7 @@
         # The second relay would only tell them again.
         handled=handled if local_rank(world) == 0 else {},
         responses=responses if local_rank(world) == 0 else {},
+        unheard=unheard_data_centres(world, now_s),
     )
     return [SendPeerMessage(row.seat, summary) for row in counterpart_relays(world)]
 
@@ -104,10 +105,10 @@
     """Return the demand of each account in the own data centre, where there is any."""
     demands: dict[str, float] = {}
     for bucket in world.buckets.rows():
-        demand = smoothed_demand_per_s(bucket, now_s)
+        demand = bucket.advertised_demand_per_s
         for row in local_peers(world):
             reported = row.demands.get(bucket.account)
-            if row.is_alive and reported is not None:
+            if reported is not None and may_refill(row, now_s):
                 demand += reported.rate_per_s
         if demand > CHANGED_RATE_PER_S:
             demands[bucket.account] = round(demand, 2)
@@ -125,6 +126,7 @@
         row.demands = {}
     row.demands.update(summary.demands)
     row.as_of_s = max(row.as_of_s, as_of_s)
+    confirm_summary(row, own.data_centre, as_of_s, summary.unheard)
     apply_uses(world, now_s, summary.handled, is_local=False)
     apply_responses(world, summary.responses, is_local=False)
     if summary.is_passed_on:
--- a/src/rhubarbspan/tables/buckets.py
+++ b/src/rhubarbspan/tables/buckets.py
@@ -149,7 +149,9 @@
             requested before are void.
         pending_delegation_request: Latest request for the owned share, or None.
         removed_s: When the account was removed, or None.
-        advertised_demand_per_s: Smoothed demand at the latest heartbeat.
+        advertised_demand_per_s: Demand that the latest heartbeat told.
+        claimed_demand_per_s: Demand by which the own part of the limit is computed.
+        advertised: When lately which demand was told, oldest first.
         n_denied: Tokens that the holder denied to waiting local requests.
         isolated_s: When this instance last held the share of a data centre without a
             way to the limit's keeper.
@@ -183,6 +185,8 @@
     pending_delegation_request: DelegationRequestRow | None = None
     removed_s: float | None = None
     advertised_demand_per_s: float = 0.0
+    claimed_demand_per_s: float = 0.0
+    advertised: deque[tuple[float, float]] = field(default_factory=deque)
     n_denied: int = 0
     isolated_s: float = -1e9
     denied_retry_after_s: float = 0.0
--- a/src/rhubarbspan/tables/data_centres.py
+++ b/src/rhubarbspan/tables/data_centres.py
@@ -10,6 +10,8 @@
     Attributes:
         as_of_s: When the newest summary was made, or before any time if there is none.
         demands: Smoothed rate of requests, by account.
+        unheard_s: When a relay of it told last that it misses the own figures.
+        confirmed_s: Up to when it is known to have heard the own data centre's figures.
         passed_on_s: When another instance of the own data centre passed on a summary.
     """
 
@@ -17,6 +19,8 @@
     as_of_s: float = -1e9
     passed_on_s: float = -1e9
     demands: dict[str, float] = field(default_factory=dict)
+    confirmed_s: float = -1e9
+    unheard_s: float = -1e9
 
 
 @dataclass(slots=True)
--- a/src/rhubarbspan/tables/peers.py
+++ b/src/rhubarbspan/tables/peers.py
@@ -24,6 +24,10 @@
         demands_s: When it reported that demand.
         is_summarised: Whether the newest news of it came in a summary.
         knows_servers: Whether it knows any backend server.
+        confirmed_s: When the newest own heartbeat was sent that it has echoed.
+        link_opened_s: When the connection to it was last ordered anew.
+        presence_digest: Digest of the instances that it sees present in its data
+            centre, 0 if it sends none.
         is_two_level: Whether it sends heartbeats only inside its data centre.
     """
 
@@ -48,6 +52,9 @@
     is_summarised: bool = False
     is_two_level: bool = False
     knows_servers: bool = True
+    confirmed_s: float = -1e9
+    link_opened_s: float = -1e9
+    presence_digest: int = 0
 
 
 class Peers:
--- a/src/rhubarbspan/tick.py
+++ b/src/rhubarbspan/tick.py
@@ -15,6 +15,7 @@
 from .systems.limit_sharing import share_limits
 from .systems.membership import track_peers
 from .systems.outcomes import handle_ended_attempts
+from .systems.peer_links import renew_peer_links
 from .systems.quarantine import update_suspects
 from .systems.revisions import apply_revisions
 from .systems.server_handover import hand_over_servers
@@ -29,6 +30,7 @@
     apply_revisions,
     track_peers,
     exchange_summaries,
+    renew_peer_links,
     share_store_reads,
     watch_servers,
     hand_over_servers,
--- a/src/rhubarbspan/world.py
+++ b/src/rhubarbspan/world.py
@@ -84,12 +84,13 @@
     Attributes:
         updated_s: When the fractions were computed last.
         n_data_centres: Data centres with instances that may refill.
-        present_fraction: Fraction of the own data centre's instances that this one
-            hears, itself included.
-        fractions: Fraction of each account's limit that the own data centre refills.
+        present_fraction: Fraction of the own data centre's instances that share a
+            holder with this one, itself included.
+        fractions: Fraction of each account's limit that the instances refill that
+            share a holder with this one.
         computed: Fractions of each account that were computed lately, oldest first.
-        isolated: Accounts whose limit another data centre keeps to which there is no
-            way now.
+        isolated: Accounts whose limit others keep, or may have taken over, to which
+            there is no way now.
     """
 
     updated_s: float = -1e9
--- a/tests/test_sums.py
+++ b/tests/test_sums.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections import Counter
 from dataclasses import replace
 from itertools import pairwise
 
@@ -9,7 +10,12 @@
 
 from rhubarbspan.document import Document, Snapshot
 from rhubarbspan.edge.instance import DEMAND_HALF_LIFE_S
-from rhubarbspan.effects import LogChange, LogRequest, SendPeerMessage
+from rhubarbspan.effects import (
+    LogChange,
+    LogRequest,
+    ReopenPeerLink,
+    SendPeerMessage,
+)
 from rhubarbspan.inputs import (
     ConfigurationReceived,
     Input,
@@ -67,6 +73,10 @@
         unconfirmed: Instances that reach the others, but not the store.
         isolated: Data centres whose instances reach only each other.
         paused: Instances that do nothing until they resume.
+        silent: Ways, each from one instance to another, on which messages are lost.
+        unlisted: Instances whose entry is not on the platform's list.
+        is_list_due: Whether those that reach the store read that list at this tick.
+        n_reopened: How often instances ordered a new connection, by way.
         n_messages: Messages between data centres that were sent.
         changes: Changes of state that the instances logged, with their seats.
     """
@@ -76,6 +86,10 @@
         "cut",
         "isolated",
         "paused",
+        "silent",
+        "unlisted",
+        "is_list_due",
+        "n_reopened",
         "n_messages",
         "changes",
         "unconfirmed",
@@ -121,6 +135,10 @@
         self.unconfirmed: set[str] = set()
         self.isolated: set[str] = set()
         self.paused: set[str] = set()
+        self.silent: set[tuple[str, str]] = set()
+        self.unlisted: set[str] = set()
+        self.is_list_due = False
+        self.n_reopened: Counter[tuple[str, str]] = Counter()
         self.n_messages = 0
         self.changes: list[tuple[str, str]] = []
         self._in_transit: dict[str, list[PeerMessageReceived]] = {}
@@ -138,6 +156,7 @@
         return [
             Listing(seat, "y", "x", world.identity.data_centre)
             for seat, world in self.worlds.items()
+            if seat not in self.unlisted
         ]
 
     def unlist(self, seats: set[str]) -> None:
@@ -179,6 +198,8 @@
             is_reachable = world.identity.data_centre not in self.isolated
             if is_reachable and seat not in self.cut | self.unconfirmed:
                 inputs.append(RevisionConfirmed(1))
+                if self.is_list_due:
+                    inputs.append(PeersListed(self.listings()))
             before = _n_admitted(world)
             for effect in run_tick(world, now_s, inputs):
                 self._deliver(seat, effect)
@@ -187,9 +208,11 @@
     def _deliver(self, seat: str, effect: object) -> None:
         if isinstance(effect, LogChange):
             self.changes.append((seat, effect.text))
+        if isinstance(effect, ReopenPeerLink):
+            self.n_reopened[seat, effect.seat] += 1
         if not isinstance(effect, SendPeerMessage) or self.cut & {seat, effect.seat}:
             return
-        if effect.seat not in self.worlds:
+        if effect.seat not in self.worlds or (seat, effect.seat) in self.silent:
             return
         data_centres = {
             self.worlds[name].identity.data_centre for name in (seat, effect.seat)
