--- a/src/rhubarbspan/edge/peers.py
+++ b/src/rhubarbspan/edge/peers.py
@@ -36,6 +36,8 @@
     ("grpc.max_reconnect_backoff_ms", 1000),
     ("grpc.keepalive_time_ms", KEEPALIVE_IDLE_MS),
     ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
+    # Probes without an acknowledgement would end the connection after a minute.
+    ("grpc.http2.ping_timeout_ms", KEEPALIVE_TIMEOUT_MS),
     # A stream sends in one direction only, so that probes often go without data.
     ("grpc.http2.max_pings_without_data", 0),
     ("grpc.http2.max_ping_strikes", 0),
