Space renewed connections to a peer that stays silent

Each connection that confirms nothing either is given twice the time of the one before, up to the retention: a peer that is gone or too busy would otherwise get a handshake from every other instance each two seconds. In a fleet of two levels the figures that are not confirmed are looked for among the instances of the own data centre only, and among the others only when a summary is missing.

test_connections_to_a_silent_instance_are_ordered_ever_more_seldom: over 20 s at most 4 connections a way. Not run against the code before this commit.

--- a/src/rhubarbspan/edge/peers.py
+++ b/src/rhubarbspan/edge/peers.py
@@ -22,9 +22,9 @@
 METHOD = "Send"
 RECONNECT_DELAY_S = 0.5
 N_MAX_QUEUED_MESSAGES = 1000
-# A connection is probed when nothing was received for the first time, and closed when
-# the probe, or what was sent, is not acknowledged within the second. Together they are
-# well below the time for which the demand of a silent peer counts.
+# A connection is probed when nothing was received for the idle time, and closed when
+# the probe is not acknowledged within the time-out. Their sum is well below the time
+# for which the demand of a silent peer counts.
 KEEPALIVE_IDLE_MS = 2000
 KEEPALIVE_TIMEOUT_MS = 1500
 OPTIONS = [
--- a/src/rhubarbspan/systems/confirmations.py
+++ b/src/rhubarbspan/systems/confirmations.py
@@ -177,20 +177,27 @@
 
 def _unconfirmed_since_s(world: World, now_s: float) -> float | None:
     """Return since when some instance may not have heard this one, None if all do."""
-    since_s: list[float] = []
-    summarised: set[str] = set()
-    for row in world.peers.rows():
-        if not may_refill(row, now_s):
-            continue
-        if not exchanges_heartbeats(world, row):
-            summarised.add(row.data_centre)
-        elif row.incarnation and not is_confirmed(world, row, now_s):
-            # One that was never heard does not know any figure of this instance.
-            since_s.append(row.confirmed_s)
-    for name in summarised:
-        summary = world.data_centres.rows.get(name)
-        if summary is None:
-            continue
-        if not is_summary_confirmed(summary, now_s):
-            since_s.append(summary.confirmed_s)
+    rows = local_peers(world) if is_two_level(world) else world.peers.rows()
+    # One that was never heard does not know any figure of this instance.
+    since_s = [
+        row.confirmed_s
+        for row in rows
+        if row.incarnation
+        and not is_confirmed(world, row, now_s)
+        and exchanges_heartbeats(world, row)
+        and may_refill(row, now_s)
+    ]
+    unconfirmed = {
+        summary.name: summary.confirmed_s
+        for summary in world.data_centres.rows.values()
+        if not is_summary_confirmed(summary, now_s)
+    }
+    if unconfirmed:
+        since_s += [
+            unconfirmed[row.data_centre]
+            for row in world.peers.rows()
+            if row.data_centre in unconfirmed
+            and not exchanges_heartbeats(world, row)
+            and may_refill(row, now_s)
+        ]
     return min(since_s, default=None)
--- a/src/rhubarbspan/systems/peer_links.py
+++ b/src/rhubarbspan/systems/peer_links.py
@@ -8,7 +8,7 @@
 from ..inputs import Inbox, Timer
 from ..tables.peers import PeerRow
 from ..world import World
-from .confirmations import exchanges_heartbeats, may_refill
+from .confirmations import DEMAND_RETENTION_S, exchanges_heartbeats, may_refill
 from .fleet_layout import (
     N_HEARTBEATS_PER_SUMMARY,
     counterpart_relays,
@@ -17,6 +17,10 @@
 )
 from .membership import heartbeat_receivers
 
+# Each new connection that confirms nothing either is given longer than the one before:
+# the peer may be gone, or too busy to answer.
+BACKOFF_FACTOR = 2.0
+
 
 def renew_peer_links(world: World, now_s: float, inbox: Inbox) -> Effects:
     """Order a new connection to each peer whose confirmations have ceased."""
@@ -31,9 +35,12 @@
             continue
         if row.link_opened_s < 0:
             row.link_opened_s = now_s
-        since_s = max(row.confirmed_s, row.link_opened_s)
-        if now_s - since_s > _silence_s(world, row):
+        if row.confirmed_s > row.link_opened_s:
+            row.link_wait_s = 0.0
+        wait_s = max(row.link_wait_s, _silence_s(world, row))
+        if now_s - max(row.confirmed_s, row.link_opened_s) > wait_s:
             row.link_opened_s = now_s
+            row.link_wait_s = min(BACKOFF_FACTOR * wait_s, DEMAND_RETENTION_S)
             world.count("peer_links_renewed")
             effects.append(ReopenPeerLink(row.seat))
     return effects
--- a/src/rhubarbspan/tables/peers.py
+++ b/src/rhubarbspan/tables/peers.py
@@ -26,6 +26,8 @@
         knows_servers: Whether it knows any backend server.
         confirmed_s: When the newest own heartbeat was sent that it has echoed.
         link_opened_s: When the connection to it was last ordered anew.
+        link_wait_s: How long the present connection may confirm nothing, if longer
+            than usual.
         presence_digest: Digest of the instances that it sees present in its data
             centre, 0 if it sends none.
         is_two_level: Whether it sends heartbeats only inside its data centre.
@@ -54,6 +56,7 @@
     knows_servers: bool = True
     confirmed_s: float = -1e9
     link_opened_s: float = -1e9
+    link_wait_s: float = 0.0
     presence_digest: int = 0
 
 
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -36,6 +36,7 @@
     target: str
     n_connections: int = 0
     silenced: set[int] = field(default_factory=set)
+    writers: list[asyncio.StreamWriter] = field(default_factory=list)
 
     async def handle(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -45,6 +46,7 @@
         number = self.n_connections
         host, _, port = self.target.rpartition(":")
         onward_reader, onward_writer = await asyncio.open_connection(host, int(port))
+        self.writers += [writer, onward_writer]
         await asyncio.gather(
             self._pass_on(number, reader, onward_writer),
             self._pass_on(number, onward_reader, writer),
@@ -60,6 +62,13 @@
         if number not in self.silenced:
             writer.close()
 
+    async def close(self) -> None:
+        """End all connections."""
+        for writer in self.writers:
+            writer.close()
+        closing = [writer.wait_closed() for writer in self.writers]
+        await asyncio.gather(*closing, return_exceptions=True)
+
     def go_silent(self) -> None:
         """Swallow what comes on the connections that are open now."""
         self.silenced.update(range(1, self.n_connections + 1))
@@ -116,6 +125,7 @@
         await sender.stop()
         await receiver.stop()
         server.close()
+        await relay.close()
 
 
 def test_link_that_is_reopened_delivers_again_at_once() -> None:
--- a/tests/test_silent_links.py
+++ b/tests/test_silent_links.py
@@ -246,6 +246,14 @@
     assert set(fleet.n_reopened) - silent <= {("n-1", "n-0")}
 
 
+def test_connections_to_a_silent_instance_are_ordered_ever_more_seldom() -> None:
+    fleet = Fleet(7, 40.0, DATA_CENTRES[:6])
+    run_with_silence(fleet, {way for way in all_ways(7) if "n-3" in way}, 26.0)
+    ways = {way for way in all_ways(7) if "n-3" in way}
+    assert set(fleet.n_reopened) == ways
+    assert max(fleet.n_reopened.values()) <= 4
+
+
 def test_share_grows_again_once_the_connections_work() -> None:
     fleet = Fleet(6, 40.0, DATA_CENTRES[:6])
     run_with_silence(fleet, all_ways(6), 14.0)
