--- a/src/rhubarbspan/edge/daemon.py
+++ b/src/rhubarbspan/edge/daemon.py
@@ -10,10 +10,10 @@
 from ..clock import read_clock_s
 from ..effects import (
     AbortAttempt,
+    ClosePeerLink,
     Effect,
     Exit,
     FinishRequest,
-    ForgetPeer,
     LogChange,
     LogLevel,
     LogRequest,
@@ -144,8 +144,8 @@
                 self._backend.abort(effect)
             case SendPeerMessage():
                 self._peers.send(effect)
-            case ForgetPeer(seat=seat):
-                self._peers.forget(seat)
+            case ClosePeerLink(seat=seat):
+                self._peers.close_link(seat)
             case WriteClaim():
                 self._platform.claim(effect)
             case LogRequest(event=event, request=request, fields=fields):
--- a/src/rhubarbspan/edge/instance.py
+++ b/src/rhubarbspan/edge/instance.py
@@ -16,10 +16,10 @@
 from ..effects import (
     AbortAttempt,
     ApplyStoreUpdate,
+    ClosePeerLink,
     Effect,
     Exit,
     FinishRequest,
-    ForgetPeer,
     LogChange,
     LogLevel,
     LogRequest,
@@ -240,8 +240,8 @@
                 self._upstream.abort(effect)
             case SendPeerMessage():
                 self._peers.send(effect)
-            case ForgetPeer(seat=seat):
-                self._peers.forget(seat)
+            case ClosePeerLink(seat=seat):
+                self._peers.close_link(seat)
             case SetStoreAccess(access=access):
                 self._feed.set_access(access)
             case ApplyStoreUpdate(update=update):
--- a/src/rhubarbspan/edge/peers.py
+++ b/src/rhubarbspan/edge/peers.py
@@ -28,6 +28,11 @@
 # that is sent.
 MAX_JOINED_BYTES = MAX_MESSAGE_BYTES // 4
 MAX_SENT_BYTES = MAX_MESSAGE_BYTES // 2
+# A connection is probed when nothing was received for the idle time, and closed when
+# the probe is not acknowledged within the time-out. Their sum is well below the time
+# for which the demand of a silent peer counts.
+KEEPALIVE_IDLE_MS = 2000
+KEEPALIVE_TIMEOUT_MS = 1500
 OPTIONS = [
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
@@ -35,7 +40,15 @@
     ("grpc.enable_http_proxy", 0),
     ("grpc.initial_reconnect_backoff_ms", 200),
     ("grpc.max_reconnect_backoff_ms", 1000),
-    ("grpc.keepalive_time_ms", 10_000),
+    ("grpc.keepalive_time_ms", KEEPALIVE_IDLE_MS),
+    ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
+    # Probes without an acknowledgement would end the connection after a minute.
+    ("grpc.http2.ping_timeout_ms", KEEPALIVE_TIMEOUT_MS),
+    # A stream sends in one direction only, so that probes often go without data.
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.http2.max_ping_strikes", 0),
+    # A new channel must not take over the connection of a silent one.
+    ("grpc.use_local_subchannel_pool", 1),
 ]
 
 
@@ -143,6 +156,7 @@
         """Close all streams."""
         for stream in self._streams.values():
             await stream.close()
+        await asyncio.gather(*self._closing, return_exceptions=True)
         if self._server is not None:
             await self._server.stop(None)
 
@@ -153,7 +167,7 @@
             return
         stream = self._streams.get(effect.seat)
         if stream is not None and stream.address != row.peer_address:
-            self.forget(effect.seat)
+            self.close_link(effect.seat)
             stream = None
         if stream is None:
             stream = PeerStream(row.peer_address, self._failures)
@@ -166,8 +180,8 @@
         if len(data) > MAX_SENT_BYTES or not stream.send(data):
             world.count("peer_messages_dropped")
 
-    def forget(self, seat: str) -> None:
-        """Close the stream to an instance."""
+    def close_link(self, seat: str) -> None:
+        """Close the stream to an instance; the next message opens a new one."""
         stream = self._streams.pop(seat, None)
         if stream is not None:
             closing = asyncio.get_running_loop().create_task(stream.close())
--- a/src/rhubarbspan/effects.py
+++ b/src/rhubarbspan/effects.py
@@ -60,8 +60,11 @@
 
 
 @dataclass(slots=True)
-class ForgetPeer:
-    """Close the connection to another entry instance, which is gone."""
+class ClosePeerLink:
+    """Close the connection to another entry instance, which is gone or silent.
+
+    The next message to it opens a new one.
+    """
 
     seat: str
 
@@ -150,7 +153,7 @@
     | StartAttempt
     | AbortAttempt
     | SendPeerMessage
-    | ForgetPeer
+    | ClosePeerLink
     | SetStoreAccess
     | ApplyStoreUpdate
     | WriteClaim
--- a/src/rhubarbspan/peer_messages.py
+++ b/src/rhubarbspan/peer_messages.py
@@ -101,6 +101,8 @@
             not send it.
         leaving_servers: Backend servers that have lately said that they are leaving,
             to the sender or to another instance.
+        presence_digest: Digest of the instances of its data centre that hear the sender
+            and are heard by it, 0 from earlier versions.
     """
 
     seat: str
@@ -125,6 +127,7 @@
     is_two_level: bool = False
     knows_servers: bool = True
     leaving_servers: list[LeavingServer] = field(default_factory=list)
+    presence_digest: int = 0
 
 
 @dataclass(slots=True)
@@ -366,6 +369,7 @@
         handled: Objects that the data centre sent to servers since the last summary,
             as in a heartbeat.
         responses: What responses since then show, as in a heartbeat.
+        unheard: Data centres of which the sender has no recent figures.
     """
 
     seat: str
@@ -380,6 +384,7 @@
     age_s: float = 0.0
     handled: dict[int, list[int]] = field(default_factory=dict)
     responses: dict[str, list[int]] = field(default_factory=dict)
+    unheard: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True)
