Survive a timeout that is too short to be told from none

Count shorter timeouts as one millisecond. The test fails on the code before with ZeroDivisionError.

--- a/src/rhubarbspan/systems/announcements.py
+++ b/src/rhubarbspan/systems/announcements.py
@@ -25,6 +25,8 @@
 # How long peers are told of a server that is leaving. Those that hear nothing for that
 # long learn it from the server itself.
 TOLD_S = 10.0
+# Servers that a heartbeat tells of, which bounds its length; the latest go first.
+N_MAX_TOLD = 64
 
 
 class LeavingSource(Enum):
@@ -106,11 +108,13 @@
 
 def describe_leaving(world: World, now_s: float) -> list[LeavingServer]:
     """List the servers that have lately said that they are leaving, for peers."""
-    return [
+    told = [
         LeavingServer(row.server_id, row.incarnation, round(now_s - said_s, 2))
         for row in world.announcements.rows()
         if (said_s := row.leaving_said_s) is not None and now_s - said_s < TOLD_S
     ]
+    told.sort(key=lambda server: server.age_s)
+    return told[:N_MAX_TOLD]
 
 
 def report_leaving(
--- a/src/rhubarbspan/systems/availability.py
+++ b/src/rhubarbspan/systems/availability.py
@@ -10,6 +10,8 @@
 # Callers that wait for the end of a pause return within this fraction of it, or within
 # RETRY_AFTER_S if that is longer.
 RETURN_SPREAD_FRACTION = 0.5
+# Shorter timeouts count as this one.
+MIN_TIMEOUT_S = 0.001
 NEVER_S = float("inf")
 
 
@@ -60,6 +62,7 @@
     spread_s = max(RETRY_AFTER_S, RETURN_SPREAD_FRACTION * pause_s)
     lowest = world.rules.lowest_priorities.get(row.route.pool, 0)
     rank = min(max(row.priority, 0), lowest)
-    remaining_fraction = (row.deadline_s - now_s) / (row.deadline_s - row.arrived_s)
-    position = max(0.0, remaining_fraction) * world.rng.random()
+    timeout_s = max(MIN_TIMEOUT_S, row.deadline_s - row.arrived_s)
+    remaining_fraction = max(0.0, row.deadline_s - now_s) / timeout_s
+    position = remaining_fraction * world.rng.random()
     return pause_s + spread_s * (rank + position) / (lowest + 1)
--- a/tests/test_unservable.py
+++ b/tests/test_unservable.py
@@ -12,6 +12,7 @@
     ConnectFailed,
     EvacuationsListed,
     Input,
+    RequestArrived,
     ServerLeavingReported,
     ServerPauseReported,
     ServersListed,
@@ -140,6 +141,13 @@
     assert max(delays_s) - min(delays_s) > 0.1
 
 
+def test_timeout_too_short_to_be_told_from_none_ends_the_tick(world: World) -> None:
+    _pause_all(world, NOW_S, PAUSE_S)
+    arrived = RequestArrived(1, "/look/x", timeout_s=1e-15)
+    (refusal,) = finished(run_tick(world, NOW_S, [arrived]))
+    assert refusal.retry_after_s >= PAUSE_S
+
+
 def test_less_urgent_callers_are_told_to_return_before_urgent_ones(
     world: World,
 ) -> None:
