--- a/src/rhubarbspan/systems/confirmations.py
+++ b/src/rhubarbspan/systems/confirmations.py
@@ -40,6 +40,9 @@
 # While a peer does not confirm, a figure is kept until demand falls below this fraction
 # of it: it could not rise again.
 KEPT_DEMAND_FRACTION = 0.5
+# A peer that has run for less than this may not have heard others yet.
+FIRST_CONFIRMATION_S = 5.0
+NEVER_S = -1e9
 
 
 def may_refill(row: PeerRow, now_s: float) -> bool:
@@ -133,7 +136,10 @@
 
 
 def unheard_data_centres(world: World, now_s: float) -> list[str]:
-    """List the data centres of which there are no recent figures."""
+    """List the data centres of which the figures known here are old.
+
+    One that was never heard is not among them, as no figure of it is in use here.
+    """
     newest_s: dict[str, float] = {}
     for row in world.peers.rows():
         if row.data_centre == world.identity.data_centre or not row.is_listed:
@@ -141,7 +147,11 @@
         summary = world.data_centres.rows.get(row.data_centre)
         known_s = max(row.demands_s, summary.as_of_s if summary else row.demands_s)
         newest_s[row.data_centre] = max(newest_s.get(row.data_centre, -1e9), known_s)
-    return sorted(n for n, s in newest_s.items() if now_s - s > UNHEARD_AFTER_S)
+    return sorted(
+        name
+        for name, known_s in newest_s.items()
+        if known_s > NEVER_S and now_s - known_s > UNHEARD_AFTER_S
+    )
 
 
 def advertise_demands(world: World, now_s: float) -> None:
--- a/src/rhubarbspan/systems/membership.py
+++ b/src/rhubarbspan/systems/membership.py
@@ -15,7 +15,12 @@
 from ..tables.peers import PeerRow
 from ..world import World
 from .bucketing import holds_delegated_shares
-from .confirmations import advertise_demands, presence_digest, present_peers
+from .confirmations import (
+    FIRST_CONFIRMATION_S,
+    advertise_demands,
+    presence_digest,
+    present_peers,
+)
 from .fleet_layout import (
     N_HEARTBEATS_PER_SUMMARY,
     choose_layout,
@@ -111,6 +116,10 @@
         return []
     if is_new_incarnation:
         row.started_s = now_s - heartbeat.uptime_s
+    is_starting = (
+        heartbeat.echoed_incarnation == 0 and heartbeat.uptime_s < FIRST_CONFIRMATION_S
+    )
+    if is_new_incarnation or is_starting:
         # It has not heard any earlier figures.
         row.confirmed_s = now_s
     if heartbeat.echoed_incarnation == world.identity.incarnation:
