--- a/src/rhubarbspan/systems/confirmations.py
+++ b/src/rhubarbspan/systems/confirmations.py
@@ -33,8 +33,8 @@
 # Age of the newest figures of a data centre after which a summary tells that they are
 # missing, and age of a summary after which it may have told so meanwhile. Both are
 # longer than the second between two summaries.
-UNHEARD_AFTER_S = 1.6
-SUMMARY_SILENCE_S = 1.6
+UNHEARD_AFTER_S = 2.1
+SUMMARY_SILENCE_S = 2.1
 # Advertised figures are kept for longer than it takes to notice that one was not heard.
 ADVERTISED_KEPT_S = 8.0
 # While a peer does not confirm, a figure is kept until demand falls below this fraction
