Test that a starting relay reports no data centre as unheard

The test fails on the code before instances that start were excepted (a summary 0.55 s after the start lists all data centres), and passes with it.

--- a/tests/test_silent_links.py
+++ b/tests/test_silent_links.py
@@ -264,3 +264,17 @@
     for step in range(int(14.0 / STEP_S), int(18.0 / STEP_S)):
         fleet.tick(step * STEP_S, {"n-5": 5})
     assert bucket.own_rate_per_s > 0.8 * 40.0
+
+
+# Relays come first in the order of names, so that an added instance is soon one.
+def test_relay_that_starts_reports_no_data_centre_as_unheard() -> None:
+    fleet = Fleet(27, 40.0, DATA_CENTRES)
+    for step in range(int(12.0 / STEP_S)):
+        now_s = step * STEP_S
+        fleet.is_list_due = step % 10 == 0
+        if step == round(6.0 / STEP_S):
+            fleet.restart("n-0", now_s)
+        fleet.tick(now_s, dict.fromkeys(fleet.worlds, step % 20 == 0))
+    for seat, world in fleet.worlds.items():
+        for row in world.data_centres.rows.values():
+            assert row.unheard_s < 0, (seat, row.name)
