--- a/src/rhubarbspan/edge/front.py
+++ b/src/rhubarbspan/edge/front.py
@@ -56,8 +56,7 @@
         timeout_s = LINGERING_CLOSE_S * 2
         departure = self.ticker.world.departure
         if departure is not None:
-            left_s = departure.finish_until_s - self.ticker.now_s()
-            timeout_s = max(timeout_s, left_s)
+            timeout_s = max(0.0, departure.finish_until_s - self.ticker.now_s())
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=timeout_s)
         for connection in list(self.connections):
