Count a planned stop from its signal, and by the settings of that time

The end of the stop was counted from the tick that handled the signal: a process that was paused for 2 s at its SIGTERM took orders by its own clock until 6.4 s after it and was killed at 6.0 s; 7 orders that came over 3 s after the pause were cut. And it was counted by settings that may be a second old: after graceS had gone from 6 to 4 without a signal, 10 orders were cut at 4.0 s.

The stop counts from before a pause that the gap between ticks shows, the settings are read again at the signal, and a shorter grace period shortens a stop that goes on.

--- a/src/rhubarbspan/edge/instance.py
+++ b/src/rhubarbspan/edge/instance.py
@@ -306,7 +306,7 @@
         await instance.close()
         return failure
     watcher = asyncio.create_task(_watch_settings(path, instance, reload))
-    stopper = asyncio.create_task(_stop_on_signal(instance, stop))
+    stopper = asyncio.create_task(_stop_on_signal(path, instance, stop))
     await instance.run()
     for task in (watcher, stopper):
         task.cancel()
@@ -321,8 +321,12 @@
     return read_platform_settings(text, path)
 
 
-async def _stop_on_signal(instance: Instance, stop: asyncio.Event) -> None:
+async def _stop_on_signal(path: str, instance: Instance, stop: asyncio.Event) -> None:
+    """Stop on the signal, with the grace period that the settings give then."""
     await stop.wait()
+    settings = _load_settings(path)
+    if not isinstance(settings, Failure):
+        instance.apply_settings(settings)
     instance.request_stop()
 
 
--- a/src/rhubarbspan/systems/departure.py
+++ b/src/rhubarbspan/systems/departure.py
@@ -1,17 +1,20 @@
 """Stops the instance gracefully, without interrupting requests."""
 
-import math
-
 from ..effects import Effects, Exit, LogChange, LogLevel
 from ..inputs import Inbox, StopRequested, Timer
 from ..tables.requests import RequestState
 from ..verdict import NotRun, Reason
 from ..world import Departure, World
 from .completion import describe_outcome, fail_request
+from .steering import usable_seats
 
 # Other instances can serve a refused request at once; the time allows for the caller's
 # new connection.
 LEAVING_RETRY_S = 0.05
+# As long as no other instance is named to callers, one of them has to start first.
+ALONE_RETRY_S = 1.0
+# How late a tick may be, beyond the interval between heartbeats, without a pause.
+TICK_LATENESS_S = 0.1
 WAITING_STATES = (
     RequestState.ADMITTING,
     RequestState.ADMITTED,
@@ -31,6 +34,13 @@
     return now_s < departure.serve_until_s and deadline_s <= departure.finish_until_s
 
 
+def leaving_retry_s(world: World) -> float:
+    """Return when the caller of a request that was refused may send it again."""
+    if any(usable_seats(world).values()):
+        return LEAVING_RETRY_S
+    return ALONE_RETRY_S * (0.5 + world.rng.random())
+
+
 def leave_fleet(world: World, now_s: float, inbox: Inbox) -> Effects:
     """Start to leave on a stop request, and refuse what could not be finished.
 
@@ -38,6 +48,7 @@
     serving for that long after peers know that it is leaving.
     """
     effects: Effects = []
+    _note_pause(world, now_s)
     if inbox.of(StopRequested) and world.departure is None:
         world.departure = _start_departure(world, now_s)
         text = f"leaving with {len(world.requests)} requests in progress"
@@ -45,6 +56,7 @@
     departure = world.departure
     if departure is None:
         return effects
+    _update_ends(world, departure)
     effects += _refuse_waiting(world, now_s, departure)
     if now_s >= departure.finish_until_s and not departure.is_overdue:
         departure.is_overdue = True
@@ -64,16 +76,44 @@
 
 
 def _start_departure(world: World, now_s: float) -> Departure:
-    policies = world.policies
-    departure = Departure(
-        now_s, now_s + policies.serve_leaving_s, now_s + policies.finish_leaving_s
-    )
     world.deadlines.arm(now_s, Timer.HEARTBEAT, "extra")
     world.deadlines.arm(now_s, Timer.STEERING, "extra")
-    world.deadlines.arm(departure.serve_until_s, Timer.DEPARTURE, "serve")
-    if math.isfinite(departure.finish_until_s):
-        world.deadlines.arm(departure.finish_until_s, Timer.DEPARTURE, "finish")
-    return departure
+    return Departure(_signalled_s(world, now_s))
+
+
+def _note_pause(world: World, now_s: float) -> None:
+    """Note when the process was paused last.
+
+    Ticks follow each other within a heartbeat's interval, so a longer gap shows it.
+    """
+    max_gap_s = world.policies.heartbeat_interval_s + TICK_LATENESS_S
+    if now_s - world.ticked_s > max_gap_s:
+        world.paused_s = max(world.started_s, world.ticked_s)
+        world.resumed_s = now_s
+
+
+def _signalled_s(world: World, now_s: float) -> float:
+    """Return a time at or before that of the stop request's signal.
+
+    A process that was paused handles the signal when it resumes, perhaps after other
+    inputs.
+    """
+    if now_s - world.resumed_s < TICK_LATENESS_S:
+        return world.paused_s
+    return now_s
+
+
+def _update_ends(world: World, departure: Departure) -> None:
+    """Set the ends of the departure; changed settings may shorten it only."""
+    policies = world.policies
+    serve_until_s = departure.started_s + policies.serve_leaving_s
+    if serve_until_s < departure.serve_until_s:
+        departure.serve_until_s = serve_until_s
+        world.deadlines.arm(serve_until_s, Timer.DEPARTURE, "serve")
+    finish_until_s = departure.started_s + policies.finish_leaving_s
+    if finish_until_s < departure.finish_until_s:
+        departure.finish_until_s = finish_until_s
+        world.deadlines.arm(finish_until_s, Timer.DEPARTURE, "finish")
 
 
 def _refuse_waiting(world: World, now_s: float, departure: Departure) -> Effects:
@@ -87,7 +127,8 @@
             if row.deadline_s <= departure.finish_until_s:
                 continue
             verdict = row.last_verdict or NotRun(Reason.LEAVING)
-            effects += fail_request(world, now_s, row, verdict, LEAVING_RETRY_S)
+            retry_s = leaving_retry_s(world)
+            effects += fail_request(world, now_s, row, verdict, retry_s)
     return effects
 
 
--- a/src/rhubarbspan/tick.py
+++ b/src/rhubarbspan/tick.py
@@ -66,4 +66,5 @@
     effects: Effects = []
     for system in SYSTEMS:
         effects.extend(system(world, now_s, inbox))
+    world.ticked_s = now_s
     return effects
--- a/src/rhubarbspan/world.py
+++ b/src/rhubarbspan/world.py
@@ -74,6 +74,7 @@
     """The progress of a graceful stop.
 
     Attributes:
+        started_s: When the stop was requested, at the latest.
         serve_until_s: Until when the instance waits for further requests.
         finish_until_s: Until when its requests may run; the process is killed soon
             after.
@@ -82,8 +83,8 @@
     """
 
     started_s: float
-    serve_until_s: float
-    finish_until_s: float
+    serve_until_s: float = float("inf")
+    finish_until_s: float = float("inf")
     is_overdue: bool = False
     is_over: bool = False
 
@@ -119,6 +120,9 @@
     Attributes:
         counters: Counts by name and label, published as metrics.
         started_s: When the instance started.
+        ticked_s: When the previous tick ran.
+        paused_s: A time just before the latest pause of the process.
+        resumed_s: When the first tick after that pause ran.
         owned: Servers by pool whose slots this instance assigns.
         is_configuration_new: Whether a revision came into force in this tick.
         unconfirmed_seats: Seats that may still use their old, larger shares, each with
@@ -167,6 +171,9 @@
     tickets: Tickets = field(default_factory=lambda: Tickets(b""))
     slot_loans: SlotLoans = field(default_factory=SlotLoans)
     owned: dict[str, list[ServerRow]] = field(default_factory=dict)
+    ticked_s: float = -1e9
+    paused_s: float = -1e9
+    resumed_s: float = -1e9
     departure: Departure | None = None
     is_configuration_new: bool = False
     unconfirmed_seats: dict[str, int] = field(default_factory=dict)
