--- a/src/rhubarbspan/systems/intake.py
+++ b/src/rhubarbspan/systems/intake.py
@@ -10,7 +10,7 @@
 from ..tables.requests import RequestRow, RequestState
 from ..verdict import NotRun, Reason
 from ..world import World
-from .departure import LEAVING_RETRY_S, may_finish
+from .departure import leaving_retry_s, may_finish
 from .fleet_layout import known_seats
 from .quarantine import is_quarantined
 from .queueing import longest_lane, record_pool_arrivals
@@ -55,7 +55,8 @@
                 _add_row(world, now_s, arrived, route, account)
             case NotRun(reason=reason) as verdict:
                 world.count("not_run", reason.value)
-                retry_s = LEAVING_RETRY_S if reason is Reason.LEAVING else 0.0
+                is_leaving = reason is Reason.LEAVING
+                retry_s = leaving_retry_s(world) if is_leaving else 0.0
                 effects.append(FinishRequest(arrived.request_id, verdict, retry_s))
                 effects.append(_describe_refusal(world, now_s, arrived, reason))
     return effects
--- a/tests/test_departure.py
+++ b/tests/test_departure.py
@@ -14,6 +14,8 @@
 )
 from rhubarbspan.policies import Policies
 from rhubarbspan.systems.departure import (
+    ALONE_RETRY_S,
+    leaving_retry_s,
     may_finish,
 )
 from rhubarbspan.tick import run_tick
@@ -135,3 +137,11 @@
     assert may_finish(world, NOW_S + 1.0, NOW_S + 5.5)
     assert not may_finish(world, NOW_S + 1.0, NOW_S + 5.6)
     assert not may_finish(world, NOW_S + 4.4, NOW_S + 4.5)
+
+
+def test_caller_returns_later_while_no_other_instance_is_left(
+    single: Document, make_world: MakeWorld
+) -> None:
+    world = make_running_world(make_world, single, POLICIES)
+    run_tick(world, NOW_S, [StopRequested()])
+    assert leaving_retry_s(world) >= ALONE_RETRY_S / 2
