--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,13 +1,15 @@
 """Shared fixtures: example configurations, worlds and running deployments."""
 
 import asyncio
-from collections.abc import Callable, Iterator
+import random
+from collections.abc import Awaitable, Callable, Iterator
 from pathlib import Path
 
 import pytest
 
 from edge_site import Site, site_document
 from platform_site import PlatformSite, close_loop
+from process_fleet import ProcessFleet
 from rhubarbspan.document import Document, Snapshot
 from rhubarbspan.inputs import (
     ConfigurationReceived,
@@ -27,6 +29,10 @@
 START_S = 100.0
 
 MakeWorld = Callable[..., World]
+RunFleet = Callable[[Callable[[ProcessFleet], Awaitable[None]], int], None]
+# Service time of the servers of a fleet of processes.
+FLEET_SERVICE_S = 2.4
+N_FLEET_SERVERS = 30
 
 
 def known_red() -> list[str]:
@@ -197,3 +203,22 @@
     bucket = world.buckets.get("ana")
     has_tokens = bucket is not None and bucket.n_tokens > 100
     return bool(world.configuration.revision and world.servers.rows() and has_tokens)
+
+
+@pytest.fixture
+def run_fleet(tmp_path: Path) -> RunFleet:
+    """Return a function that runs a test with processes and ends them afterwards."""
+
+    def run(work: Callable[[ProcessFleet], Awaitable[None]], n_instances: int) -> None:
+        async def run_and_close() -> None:
+            fleet = ProcessFleet(tmp_path, random.Random(1))
+            try:
+                await fleet.start(n_instances, [FLEET_SERVICE_S] * N_FLEET_SERVERS)
+                await asyncio.sleep(1.0)
+                await work(fleet)
+            finally:
+                await fleet.close()
+
+        asyncio.run(run_and_close())
+
+    return run
--- /dev/null
+++ b/tests/fleet_judges.py
@@ -0,0 +1,88 @@
+"""Judges what the callers and servers of a fleet of processes have seen."""
+
+from process_fleet import ProcessFleet, Sending, Stop
+
+
+def lost_sendings(fleet: ProcessFleet) -> list[str]:
+    """List requests that were read and got no whole response around a planned stop.
+
+    Excused are those that their caller sent early in the grace period and whose server
+    was still at work in its last sixth.
+    """
+    lost: list[str] = []
+    for row in fleet.sendings:
+        if row.status != 0:
+            continue
+        for stop in fleet.stops:
+            since_s = row.sent_s - stop.terminated_s
+            end_s = row.ended_s - stop.terminated_s
+            is_near = row.instance == stop.instance and end_s >= 0
+            if not is_near or since_s > fleet.grace_s or end_s > fleet.grace_s + 1:
+                continue
+            if since_s <= 3.0 and end_s >= fleet.grace_s * 5 / 6:
+                continue
+            lost.append(_describe_loss(fleet, row, stop))
+            break
+    return lost
+
+
+def _describe_loss(fleet: ProcessFleet, row: Sending, stop: Stop) -> str:
+    body = "chunks" if row.is_chunked else "by length"
+    how = "was killed" if stop.killed_s < float("inf") else "exited"
+    sent_s, ended_s, exited_s = (
+        round(at_s - stop.terminated_s, 2)
+        for at_s in (row.sent_s, row.ended_s, stop.exited_s)
+    )
+    return (
+        f"{row.request_id} {row.method} ({body}), run {fleet.runs_of(row.request_id)} "
+        f"times: sent {sent_s} s after the SIGTERM to {row.instance}, which {how} "
+        f"{exited_s} s after it; its connection ended at {ended_s} s"
+    )
+
+
+def sent_to_leaving_servers(fleet: ProcessFleet) -> list[str]:
+    """List requests that reached a server long after it had said that it leaves.
+
+    The time counts for each instance from the first such response that it passed on.
+    """
+    late: list[str] = []
+    for leave in fleet.leaves:
+        told_s: dict[str, float] = {}
+        rows = [row for row in fleet.sendings if leave.server.runs[row.request_id]]
+        for row in sorted(rows, key=lambda row: row.ended_s):
+            if row.status == 200 and leave.from_s < row.ended_s < leave.to_s:
+                told_s.setdefault(row.instance, row.ended_s)
+        for row in rows:
+            since_s = told_s.get(row.instance, float("inf"))
+            limit_s = since_s + fleet.drain_s
+            if not limit_s < row.sent_s < leave.to_s:
+                continue
+            if not _has_stopped(fleet, row.instance, since_s, row.sent_s):
+                late.append(
+                    f"{row.request_id} reached {leave.server.server_id} from "
+                    f"{row.instance} {row.sent_s - limit_s:.2f} s too late"
+                )
+    return late
+
+
+def _has_stopped(
+    fleet: ProcessFleet, instance: str, from_s: float, to_s: float
+) -> bool:
+    return any(
+        stop.instance == instance and from_s <= stop.terminated_s <= to_s
+        for stop in fleet.stops
+    )
+
+
+def broken_promises(fleet: ProcessFleet) -> list[str]:
+    """List orders that ran twice, and orders that were refused and ran."""
+    broken: list[str] = []
+    for row in fleet.sendings:
+        n_runs = fleet.runs_of(row.request_id)
+        if row.method == "POST" and n_runs > 1:
+            broken.append(f"{row.request_id} ran {n_runs} times")
+        if row.method == "POST" and row.status in (408, 421, 429, 503) and n_runs:
+            broken.append(f"{row.request_id} was refused with {row.status}, and ran")
+        if row.status == 200 and not n_runs:
+            broken.append(f"{row.request_id} was answered, and no server ran it")
+    return broken
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -1,4 +1,4 @@
-"""Runs instances as processes with the deploy file's command, and callers for them."""
+"""Runs instances as processes with the deploy file's command."""
 
 import asyncio
 import json
@@ -15,11 +15,7 @@
     DATA_CENTRE_REGIONS,
     HOST,
     PlatformDeployment,
-    Reply,
     configuration_document,
-    connect,
-    read_reply,
-    request_bytes,
     send_request,
     server_record,
 )
@@ -28,9 +24,6 @@
 ROOT = Path(__file__).parent.parent
 START_S = 20.0
 RESTART_DELAY_S = 0.3
-PIECES_PER_BODY = 4
-# Some callers keep a look-up answer for three times its lifetime.
-LOOKUP_KEEPS = (1, 1, 3)
 
 
 @dataclass(slots=True)
@@ -291,200 +284,3 @@
     except (OSError, TimeoutError):
         return False
     return reply.status == 200
-
-
-@dataclass(slots=True)
-class Caller:
-    """A caller that sends one request after the other.
-
-    Attributes:
-        keeps_connections: Whether it sends on a connection until that ends.
-        is_chunked: Whether its orders have a body in chunks.
-        sends_body_for_s: Time over which it sends a body in chunks.
-        keeps_lookup: For how many lifetimes it uses a look-up answer.
-        timeout_s: How long it waits for a response.
-    """
-
-    fleet: ProcessFleet
-    name: str
-    zone: str
-    rng: random.Random
-    keeps_connections: bool = True
-    is_chunked: bool = False
-    sends_body_for_s: float = 0.0
-    method: str = "POST"
-    keeps_lookup: int = 1
-    timeout_s: float = 4.0
-    pause_s: float = 0.05
-    starts_after_s: float = 0.0
-    n_sent: int = 0
-    named: list[InstanceProcess] = field(default_factory=list)
-    looked_up_until_s: float = 0.0
-
-    async def run(self, until_s: float) -> None:
-        """Send requests until a time of the event loop."""
-        loop = asyncio.get_running_loop()
-        await asyncio.sleep(self.starts_after_s)
-        while loop.time() < until_s:
-            await self.look_up()
-            if not self.named:
-                await asyncio.sleep(self.pause_s)
-                continue
-            instance = self.rng.choice(self.named)
-            try:
-                reader, writer = await connect(instance.addresses["front"])
-            except OSError:
-                await asyncio.sleep(self.pause_s)
-                continue
-            try:
-                while await self._send(instance, reader, writer):
-                    await asyncio.sleep(self.pause_s * self.rng.random())
-                    await self.look_up()
-                    if loop.time() >= until_s or instance not in self.named:
-                        break
-            finally:
-                writer.close()
-            await asyncio.sleep(self.pause_s)
-
-    async def look_up(self) -> None:
-        """Look up the instances again if the answer in use has expired."""
-        loop = asyncio.get_running_loop()
-        if loop.time() < self.looked_up_until_s:
-            return
-        named, lifetime_s = await self.fleet.look_up(self.zone)
-        if named:
-            self.named = named
-            self.looked_up_until_s = loop.time() + self.keeps_lookup * lifetime_s
-
-    async def _send(
-        self,
-        instance: InstanceProcess,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> bool:
-        """Send one request; return whether the connection can be used again."""
-        loop = asyncio.get_running_loop()
-        self.n_sent += 1
-        request_id = f"{self.name}-{self.n_sent}"
-        row = Sending(
-            request_id, instance.name, self.method, self.is_chunked, loop.time()
-        )
-        self.fleet.sendings.append(row)
-        reply: Reply | None = None
-        try:
-            await self._write(row, writer)
-            row.sent_s = loop.time()
-            row.status = 0
-            reply = await read_reply(reader, self.timeout_s + 1.0)
-            row.status = reply.status
-            row.retry_after_s = float(reply.headers.get("retry-after", "0"))
-        except (OSError, TimeoutError):
-            pass
-        row.ended_s = loop.time()
-        is_open = reply is not None and reply.headers.get("connection") != "close"
-        return is_open and self.keeps_connections
-
-    async def _write(self, row: Sending, writer: asyncio.StreamWriter) -> None:
-        headers = {
-            "X_Request_Id": row.request_id,
-            "X_Deadline_Milliseconds": str(int(1000 * self.timeout_s)),
-        }
-        target = "/order/x" if self.method == "POST" else "/look/x"
-        if not self.is_chunked:
-            body = row.request_id.encode() if self.method == "POST" else b""
-            writer.write(request_bytes(target, self.method, body, **headers))
-            return
-        chunked = {"Content_Length": "", "Transfer_Encoding": "chunked"}
-        writer.write(request_bytes(target, self.method, **headers, **chunked))
-        for number in range(PIECES_PER_BODY):
-            await asyncio.sleep(self.sends_body_for_s / PIECES_PER_BODY)
-            piece = row.request_id.encode()
-            writer.write(b"%x\r\n%b\r\n" % (len(piece), piece))
-            if number == PIECES_PER_BODY - 1:
-                writer.write(b"0\r\n\r\n")
-            await writer.drain()
-
-
-def lost_sendings(fleet: ProcessFleet) -> list[str]:
-    """List requests that were read and got no whole response around a planned stop.
-
-    Excused are those that their caller sent early in the grace period and whose server
-    was still at work in its last sixth.
-    """
-    lost: list[str] = []
-    for row in fleet.sendings:
-        if row.status != 0:
-            continue
-        for stop in fleet.stops:
-            since_s = row.sent_s - stop.terminated_s
-            end_s = row.ended_s - stop.terminated_s
-            is_near = row.instance == stop.instance and end_s >= 0
-            if not is_near or since_s > fleet.grace_s or end_s > fleet.grace_s + 1:
-                continue
-            if since_s <= 3.0 and end_s >= fleet.grace_s * 5 / 6:
-                continue
-            lost.append(_describe_loss(fleet, row, stop))
-            break
-    return lost
-
-
-def _describe_loss(fleet: ProcessFleet, row: Sending, stop: Stop) -> str:
-    body = "chunks" if row.is_chunked else "by length"
-    how = "was killed" if stop.killed_s < float("inf") else "exited"
-    sent_s, ended_s, exited_s = (
-        round(at_s - stop.terminated_s, 2)
-        for at_s in (row.sent_s, row.ended_s, stop.exited_s)
-    )
-    return (
-        f"{row.request_id} {row.method} ({body}), run {fleet.runs_of(row.request_id)} "
-        f"times: sent {sent_s} s after the SIGTERM to {row.instance}, which {how} "
-        f"{exited_s} s after it; its connection ended at {ended_s} s"
-    )
-
-
-def sent_to_leaving_servers(fleet: ProcessFleet) -> list[str]:
-    """List requests that reached a server long after it had said that it leaves.
-
-    The time counts for each instance from the first such response that it passed on.
-    """
-    late: list[str] = []
-    for leave in fleet.leaves:
-        told_s: dict[str, float] = {}
-        rows = [row for row in fleet.sendings if leave.server.runs[row.request_id]]
-        for row in sorted(rows, key=lambda row: row.ended_s):
-            if row.status == 200 and leave.from_s < row.ended_s < leave.to_s:
-                told_s.setdefault(row.instance, row.ended_s)
-        for row in rows:
-            since_s = told_s.get(row.instance, float("inf"))
-            limit_s = since_s + fleet.drain_s
-            if not limit_s < row.sent_s < leave.to_s:
-                continue
-            if not _has_stopped(fleet, row.instance, since_s, row.sent_s):
-                late.append(
-                    f"{row.request_id} reached {leave.server.server_id} from "
-                    f"{row.instance} {row.sent_s - limit_s:.2f} s too late"
-                )
-    return late
-
-
-def _has_stopped(
-    fleet: ProcessFleet, instance: str, from_s: float, to_s: float
-) -> bool:
-    return any(
-        stop.instance == instance and from_s <= stop.terminated_s <= to_s
-        for stop in fleet.stops
-    )
-
-
-def broken_promises(fleet: ProcessFleet) -> list[str]:
-    """List orders that ran twice, and orders that were refused and ran."""
-    broken: list[str] = []
-    for row in fleet.sendings:
-        n_runs = fleet.runs_of(row.request_id)
-        if row.method == "POST" and n_runs > 1:
-            broken.append(f"{row.request_id} ran {n_runs} times")
-        if row.method == "POST" and row.status in (408, 421, 429, 503) and n_runs:
-            broken.append(f"{row.request_id} was refused with {row.status}, and ran")
-        if row.status == 200 and not n_runs:
-            broken.append(f"{row.request_id} was answered, and no server ran it")
-    return broken
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -12,15 +12,13 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from process_fleet import (
-    LOOKUP_KEEPS,
-    Caller,
-    ProcessFleet,
+from fleet_judges import (
     broken_promises,
-    is_ready,
     lost_sendings,
     sent_to_leaving_servers,
 )
+from process_caller import LOOKUP_KEEPS, Caller
+from process_fleet import ProcessFleet, is_ready
 
 
 @dataclass(slots=True)
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -2,47 +2,20 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from pathlib import Path
 
 import pytest
 
-from process_fleet import (
-    LOOKUP_KEEPS,
-    Caller,
-    ProcessFleet,
-    Sending,
-    Stop,
-    lost_sendings,
-)
+from conftest import RunFleet
+from fleet_judges import lost_sendings
+from process_caller import LOOKUP_KEEPS, Caller
+from process_fleet import ProcessFleet, Sending, Stop
 from rhubarbspan.edge.instance import choose_policies, lookup_lifetime_s
 from rhubarbspan.platform.settings import Bounds, PlatformSettings
 from soak import soak
 
 SOAK_S = 30.0
-SERVICE_S = 2.4
-
-RunFleet = Callable[[Callable[[ProcessFleet], Awaitable[None]]], None]
-
-
-@pytest.fixture
-def run_fleet(tmp_path: Path) -> RunFleet:
-    """Return a function that runs a test with a fleet and closes the fleet."""
-
-    def run(work: Callable[[ProcessFleet], Awaitable[None]]) -> None:
-        async def run_and_close() -> None:
-            fleet = ProcessFleet(tmp_path, random.Random(1))
-            try:
-                await fleet.start(2, [SERVICE_S] * 30)
-                await asyncio.sleep(1.0)
-                await work(fleet)
-            finally:
-                await fleet.close()
-
-        asyncio.run(run_and_close())
-
-    return run
 
 
 def sent_after(
@@ -89,7 +62,7 @@
         assert all(row.ended_s - row.sent_s < 1.0 for row in refused)
         assert all(row.retry_after_s > 0 for row in refused)
 
-    run_fleet(work)
+    run_fleet(work, 2)
 
 
 def test_body_that_arrives_in_chunks_during_the_stop_gets_a_response(
@@ -121,7 +94,7 @@
         assert [row for row in rows if row.status not in (200, 503)] == []
         assert fleet.log_lines("connection cut") == []
 
-    run_fleet(work)
+    run_fleet(work, 2)
 
 
 @pytest.mark.parametrize("grace_s", [5.0, 6.0, 10.0, 30.0])
--- a/tests/test_stop_deadlines.py
+++ b/tests/test_stop_deadlines.py
@@ -4,49 +4,20 @@
 import json
 import random
 import signal
-from collections.abc import Awaitable, Callable
-from pathlib import Path
 
-import pytest
-
-from process_fleet import (
-    Caller,
-    InstanceProcess,
-    ProcessFleet,
-    configuration,
-    lost_sendings,
-)
+from conftest import RunFleet
+from fleet_judges import lost_sendings
+from process_caller import Caller
+from process_fleet import InstanceProcess, ProcessFleet, configuration
 from rhubarbspan.standins.platform_deployment import (
     connect,
     read_reply,
     request_bytes,
 )
 
-SERVICE_S = 2.4
 UPLOAD_CHUNK_BYTES = 65_536
 N_UPLOAD_CHUNKS = 32
 
-RunFleet = Callable[[Callable[[ProcessFleet], Awaitable[None]]], None]
-
-
-@pytest.fixture
-def run_fleet(tmp_path: Path) -> RunFleet:
-    """Return a function that runs a test with one process and closes the fleet."""
-
-    def run(work: Callable[[ProcessFleet], Awaitable[None]]) -> None:
-        async def run_and_close() -> None:
-            fleet = ProcessFleet(tmp_path, random.Random(1))
-            try:
-                await fleet.start(1, [SERVICE_S] * 30)
-                await asyncio.sleep(1.0)
-                await work(fleet)
-            finally:
-                await fleet.close()
-
-        asyncio.run(run_and_close())
-
-    return run
-
 
 async def send_orders(
     fleet: ProcessFleet, from_s: float, for_s: float, timeout_s: float
@@ -93,7 +64,7 @@
         await asyncio.gather(stop, orders)
         assert lost_sendings(fleet) == []
 
-    run_fleet(work)
+    run_fleet(work, 1)
 
 
 def test_grace_period_that_was_shortened_just_before_the_stop_bounds_it(
@@ -109,7 +80,7 @@
         await stop
         assert lost_sendings(fleet) == []
 
-    run_fleet(work)
+    run_fleet(work, 1)
 
 
 def test_stop_with_a_body_that_never_ends_is_over_before_the_kill(
@@ -131,7 +102,7 @@
         assert [row.status for row in fleet.sendings] == [200] * len(fleet.sendings)
         assert stop.killed_s == float("inf"), "it was killed"
 
-    run_fleet(work)
+    run_fleet(work, 1)
 
 
 def test_refusal_during_the_stop_reaches_a_caller_that_reads_after_its_body(
@@ -158,7 +129,7 @@
         await stop
         assert reply.status == 503
 
-    run_fleet(work)
+    run_fleet(work, 1)
 
 
 def test_deadline_close_to_the_kill_is_kept_or_refused(run_fleet: RunFleet) -> None:
@@ -181,4 +152,4 @@
             for row in fleet.sendings
         )
 
-    run_fleet(work)
+    run_fleet(work, 1)
