--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,6 +1,6 @@
 """A soak of real processes: planned stops in series that overlap, under load.
 
-By hand: ``python tests/soak.py --seeds 50``; tests/test_planned_stops.py runs one seed.
+By hand: ``python tests/soak.py --seeds 50``; test_planned_stops.py runs two seeds.
 """
 
 import argparse
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -30,24 +30,31 @@
     ]
 
 
+def make_caller(fleet: ProcessFleet, number: int) -> Caller:
+    """Make one of several callers that start one after the other.
+
+    Each sends orders on connections of their own, and uses a look-up answer for as long
+    as any caller does.
+    """
+    return Caller(
+        fleet,
+        f"c{number}",
+        "a-1",
+        random.Random(number),
+        keeps_connections=False,
+        keeps_lookup=max(LOOKUP_KEEPS),
+        starts_after_s=number * 0.06,
+    )
+
+
 def test_order_late_in_the_grace_period_is_not_cut_by_the_kill(
     run_fleet: RunFleet,
 ) -> None:
     async def work(fleet: ProcessFleet) -> None:
         end_s = asyncio.get_running_loop().time() + 11.0
-        callers = [
-            Caller(
-                fleet,
-                f"c{number}",
-                "a-1",
-                random.Random(number),
-                keeps_connections=False,
-                is_chunked=number % 2 == 0,
-                keeps_lookup=3,
-                starts_after_s=number * 0.06,
-            )
-            for number in range(40)
-        ]
+        callers = [make_caller(fleet, number) for number in range(40)]
+        for caller in callers[::2]:
+            caller.is_chunked = True
         tasks = [asyncio.create_task(caller.run(end_s)) for caller in callers]
         # The answers that they looked up are in use for most of the grace period.
         await asyncio.sleep(2.5)
@@ -70,21 +77,11 @@
 ) -> None:
     async def work(fleet: ProcessFleet) -> None:
         loop = asyncio.get_running_loop()
-        callers = [
-            Caller(
-                fleet,
-                f"c{number}",
-                "a-1",
-                random.Random(number),
-                keeps_connections=False,
-                is_chunked=True,
-                sends_body_for_s=2.0,
-                keeps_lookup=3,
-                starts_after_s=1.5 + number * 0.08,
-            )
-            for number in range(20)
-        ]
+        callers = [make_caller(fleet, number) for number in range(20)]
         for caller in callers:
+            caller.is_chunked = True
+            caller.sends_body_for_s = 2.0
+            caller.starts_after_s += 1.5
             await caller.look_up()
         tasks = [asyncio.create_task(row.run(loop.time() + 3.3)) for row in callers]
         stop = await fleet.stop_and_restart(fleet.instances[0])
