Let an odd entry of the registry cost itself alone

Callers of the own interface saw 10 of 10 requests go to a server that had been listed as leaving three seconds before, and an added server got none, as soon as any process of the same service was registered with, say, its port as text.

Cause: the registry's list was decoded as a whole, so that one entry of another type cost all of it, silently; and entries of the right types were used without the checks of the platform's records (name in place of an address, port 0, a line feed in the identifier).

Why it works: a list that fits is decoded at once as before; if it does not, each entry is decoded by itself. Ruled out: an unexpected error in the task, since the lists of other services were read on.

--- a/src/rhubarbspan/edge/catalog.py
+++ b/src/rhubarbspan/edge/catalog.py
@@ -1,7 +1,9 @@
 """Reads configuration and lists of processes from the store, and writes claims."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
+from functools import partial
+from typing import TypeVar
 
 from ..document import Snapshot
 from ..effects import WriteClaim
@@ -13,14 +15,15 @@
     RevisionConfirmed,
     ServersListed,
 )
-from ..keyvalue import Committed, Conflict, Operation, Verb
+from ..keyvalue import STORE_GARBAGE, Committed, Conflict, Operation, Verb
 from ..publishing import StoredConfiguration, read_stored
 from ..verdict import Failure
-from ..wire.consul import to_peer_listing, to_server_listing
+from ..wire.consul import ServiceBody, to_peer_listing, to_server_listing
 from .failures import FailureLog, run_on
 from .store import HttpStore
 from .ticker import Ticker
 
+T = TypeVar("T")
 LIST_INTERVAL_S = 1.0
 RETRY_DELAY_S = 0.5
 CLAIM_BATCH_S = 0.003
@@ -118,20 +121,35 @@
             await asyncio.sleep(LIST_INTERVAL_S)
 
     async def _read_instances(self) -> None:
-        services = await self._store.list_processes(self._service)
-        if isinstance(services, Failure):
-            self._ticker.world.count("store_failures", services.code)
-            return
-        peers = [to_peer_listing(service) for service in services]
-        self._ticker.inputs.on_next(PeersListed(peers))
+        peers = await self._read_list(self._service, to_peer_listing)
+        if not isinstance(peers, Failure):
+            self._ticker.inputs.on_next(PeersListed(peers))
 
     async def _read_servers(self, pool: str) -> None:
-        services = await self._store.list_processes(pool)
-        if isinstance(services, Failure):
-            self._ticker.world.count("store_failures", services.code)
-            return
-        servers = [to_server_listing(pool, service) for service in services]
-        self._ticker.inputs.on_next(ServersListed(pool, servers))
+        servers = await self._read_list(pool, partial(to_server_listing, pool))
+        if not isinstance(servers, Failure):
+            self._ticker.inputs.on_next(ServersListed(pool, servers))
+
+    async def _read_list(
+        self, service: str, translate: Callable[[ServiceBody], T | Failure]
+    ) -> list[T] | Failure:
+        """Read the list of a service; leave out and report what is unreadable in it."""
+        world = self._ticker.world
+        entries = await self._store.list_processes(service)
+        if isinstance(entries, Failure):
+            world.count("store_failures", entries.code)
+            if entries.code == STORE_GARBAGE:
+                self._failures.report_entry(service, entries.reason)
+            return entries
+        rows: list[T] = []
+        for position, entry in enumerate(entries):
+            row = entry if isinstance(entry, Failure) else translate(entry)
+            if isinstance(row, Failure):
+                world.count("malformed_records")
+                self._failures.report_entry(f"{service}[{position}]", row.reason)
+            else:
+                rows.append(row)
+        return rows
 
     def claim(self, effect: WriteClaim) -> None:
         """Add a claim to the next batch."""
--- a/src/rhubarbspan/edge/store.py
+++ b/src/rhubarbspan/edge/store.py
@@ -126,8 +126,15 @@
             )
         return consul.decode_session(response.body)
 
-    async def list_processes(self, service: str) -> list[consul.ServiceBody] | Failure:
-        """Read the platform's list of the processes of a service."""
+    async def list_processes(
+        self, service: str
+    ) -> list[consul.ServiceBody | Failure] | Failure:
+        """Read the platform's list of the processes of a service.
+
+        Returns:
+            A process, or what is wrong with it, for each entry; a failure if there is
+            no list that can be read.
+        """
         path = f"/v1/health/service/{service}"
         response = await self._call("GET", path, b"", {}, CALL_TIMEOUT_S)
         if isinstance(response, Failure):
--- a/src/rhubarbspan/fleet_client.py
+++ b/src/rhubarbspan/fleet_client.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 import aiohttp
+import logbook
 import msgspec
 
 from .bodies import read_body
@@ -13,6 +14,7 @@
 from .verdict import Failure
 from .wire.consul import to_peer_listing
 
+LOG = logbook.Logger("rhubarbspan.fleet_client")
 REQUEST_TIMEOUT_S = 2.0
 POLL_INTERVAL_S = 0.2
 
@@ -77,9 +79,11 @@
     services = await store.list_processes(service)
     if isinstance(services, Failure):
         return targets or services
-    for process in services:
-        peer = to_peer_listing(process)
-        if peer.address not in entries:
+    for position, process in enumerate(services):
+        peer = process if isinstance(process, Failure) else to_peer_listing(process)
+        if isinstance(peer, Failure):
+            LOG.warning("entry {}[{}]: {}", service, position, peer.reason)
+        elif peer.address not in entries:
             targets.append(Target(peer.seat, peer.data_centre, peer.address))
     return targets
 
--- a/src/rhubarbspan/wire/consul.py
+++ b/src/rhubarbspan/wire/consul.py
@@ -7,9 +7,12 @@
 
 from ..inputs import PeerListing, ServerListing
 from ..keyvalue import STORE_GARBAGE, Entry, Operation
+from ..record_checks import find_peer_problem, find_server_problem
 from ..verdict import Failure
 
 INDEX_HEADER = "X-Consul-Index"
+# Code of the failure for an entry that cannot be used.
+MALFORMED_ENTRY = "malformed"
 # Deep nesting exceeds the interpreter's recursion limit.
 DECODE_ERRORS = (msgspec.MsgspecError, RecursionError)
 
@@ -109,32 +112,58 @@
         return Failure(STORE_GARBAGE, f"the store's response is malformed: {error}")
 
 
-def decode_services(body: bytes) -> list[ServiceBody] | Failure:
-    """Decode a health response to the registered processes that it lists."""
+def decode_services(body: bytes) -> list[ServiceBody | Failure] | Failure:
+    """Decode a health response to the registered processes that it lists.
+
+    Returns:
+        A process for each entry, or what is wrong with the entry; a failure if the
+        response cannot be split into entries.
+    """
     try:
         decoded = msgspec.json.decode(body, type=list[ServiceEntryBody])
+    except msgspec.ValidationError:
+        return _decode_each_service(body)
     except DECODE_ERRORS as error:
         return Failure(STORE_GARBAGE, f"the service list is malformed: {error}")
     return [entry.service for entry in decoded]
 
 
-def to_server_listing(pool: str, service: ServiceBody) -> ServerListing:
-    """Translate a registered process to the listing of a backend server."""
-    return ServerListing(
+def _decode_each_service(body: bytes) -> list[ServiceBody | Failure] | Failure:
+    try:
+        entries = msgspec.json.decode(body, type=list[msgspec.Raw])
+    except DECODE_ERRORS as error:
+        return Failure(STORE_GARBAGE, f"the service list is malformed: {error}")
+    return [_decode_service(entry) for entry in entries]
+
+
+def _decode_service(entry: msgspec.Raw) -> ServiceBody | Failure:
+    try:
+        return msgspec.json.decode(entry, type=ServiceEntryBody).service
+    except DECODE_ERRORS as error:
+        return Failure(MALFORMED_ENTRY, str(error))
+
+
+def to_server_listing(pool: str, service: ServiceBody) -> ServerListing | Failure:
+    """Translate a registered process to a backend server, or say why it can't be."""
+    server = ServerListing(
         service.id,
         pool,
         f"{service.address}:{service.port}",
         service.meta.get("data_centre", ""),
         service.meta.get("state") == "leaving",
     )
+    problem = find_server_problem(server)
+    return Failure(MALFORMED_ENTRY, problem) if problem else server
 
 
-def to_peer_listing(service: ServiceBody) -> PeerListing:
-    """Translate a registered process to the listing of a peer instance."""
-    return PeerListing(
+def to_peer_listing(service: ServiceBody) -> PeerListing | Failure:
+    """Translate a registered process to a peer instance, or say why it can't be."""
+    peer = PeerListing(
         service.id,
         service.meta.get("peer_address", ""),
         f"{service.address}:{service.port}",
         service.meta.get("data_centre", ""),
         service.meta.get("state") == "leaving",
     )
+    problem = find_peer_problem(peer)
+    return Failure(MALFORMED_ENTRY, problem) if problem else peer
