Read the configuration beside odd entries among its changes

An operator's commands failed with "malformed", and instances that had missed more than four changes kept their old configuration, with the keys that were withdrawn since, while any entry that is no change lay under the prefix of the changes.

Cause: all entries under the prefix were decoded, also those that no revision needs. Only keys of revisions that are missing are decoded now, and deep nesting in one of them is a failure with a reason instead of an unexpected error.

test_configuration_is_read_beside_odd_entries_among_its_changes failed before (reading and publishing both ended in a failure) and passes now.

--- a/src/rhubarbspan/publishing.py
+++ b/src/rhubarbspan/publishing.py
@@ -41,6 +41,9 @@
 SNAPSHOT_INTERVAL_REVISIONS = 32
 MAX_SEPARATE_CHANGE_READS = 4
 MAX_READ_BACKS = 5
+N_REVISION_DIGITS = 12
+# Deep nesting exceeds the interpreter's recursion limit.
+DECODE_ERRORS = (msgspec.MsgspecError, RecursionError)
 
 
 @dataclass(slots=True)
@@ -139,7 +142,7 @@
     entry = reading.entries[0]
     try:
         head = msgspec.json.decode(entry.value, type=Head)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return Failure(STORE_GARBAGE, f"{HEAD_KEY} is malformed: {error}")
     return head, entry.index, reading.index
 
@@ -202,7 +205,7 @@
     try:
         for entry in reading.entries:
             document.update(msgspec.json.decode(entry.value, type=Document))
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return Failure(STORE_GARBAGE, f"{head.snapshot_path} is malformed: {error}")
     return Snapshot(head.snapshot_revision, document, head.snapshot_seats_revision)
 
@@ -220,18 +223,27 @@
         if isinstance(reading, Failure):
             return reading
         for entry in reading.entries:
+            if not after_revision < _revision_of(entry.key) <= revision:
+                continue
             try:
                 change = msgspec.json.decode(entry.value, type=Change)
-            except msgspec.MsgspecError as error:
+            except DECODE_ERRORS as error:
                 return Failure(STORE_GARBAGE, f"{entry.key} is malformed: {error}")
             if after_revision < change.revision <= revision:
                 changes.append(change)
     return changes
 
 
+def _revision_of(key: str) -> int:
+    """Return the revision of a change by its key, or 0 for what is no change."""
+    name = key.removeprefix(CHANGES_PREFIX)
+    is_number = name.isdecimal() and len(name) == N_REVISION_DIGITS
+    return int(name) if is_number and change_key(int(name)) == key else 0
+
+
 def change_key(revision: int) -> str:
     """Return the key of a change, padded so that keys sort by revision."""
-    return f"{CHANGES_PREFIX}{revision:012d}"
+    return f"{CHANGES_PREFIX}{revision:0{N_REVISION_DIGITS}d}"
 
 
 async def apply_document(
--- a/tests/test_unreadable_services.py
+++ b/tests/test_unreadable_services.py
@@ -4,7 +4,16 @@
 
 import logbook
 
-from edge_site import Site
+from edge_site import Site, edit
+from rhubarbspan.edits import GrantKey
+from rhubarbspan.publishing import (
+    CHANGES_PREFIX,
+    MAX_SEPARATE_CHANGE_READS,
+    StoredConfiguration,
+    read_stored,
+)
+from rhubarbspan.standins.store import StoredValue
+from rhubarbspan.wire.http import hash_key
 
 # Two polls of the lists, and a probe.
 HEARD_S = 3.0
@@ -72,3 +81,22 @@
     for position in range(2, 2 + len(ODD_ENTRIES)):
         assert f"entry 'shop[{position}]'" in places
         assert f"entry '{SERVICE}[{position}]'" in places
+
+
+# A withdrawn key stayed in force: one change that others wrote hid all others.
+def test_configuration_is_read_beside_odd_entries_among_its_changes(
+    site: Site,
+) -> None:
+    store = site.deployment.store
+    for position, value in enumerate((b"", b"{", b"[" * 5000, b'{"revision": "1"}')):
+        store.values[f"{CHANGES_PREFIX}odd-{position}"] = StoredValue(value, 1)
+    client = site.deployment.client
+    assert client is not None
+    known = site.run(read_stored(client))
+    assert isinstance(known, StoredConfiguration)
+    for count in range(MAX_SEPARATE_CHANGE_READS + 2):
+        site.run(edit(site, GrantKey("bo", hash_key(f"odd {count}"))))
+    latest = site.run(read_stored(client, known.snapshot))
+    assert isinstance(latest, StoredConfiguration), latest
+    assert latest.snapshot.revision == latest.head.revision
+    assert isinstance(site.run(read_stored(client)), StoredConfiguration)
