Send responses whole to slow callers before the exit

A caller on a slow link got 36,864 bytes of a response of 60,000, and then the end of the connection, when the instance left while it read: LOST on both front ends, without a line in the log.

Cause: the stop waited until a response was written to its connection's buffer, of which up to 64 KB may not have gone to the operating system when the process ends. Ruled out: the half second for which a closing connection is still read, which ends before as well.

Change: a caller's connection is done when it is closed, which comes after its bytes were sent; the stop of the own interface looks for unsent bytes, as its library does not tell. Both are bounded by the grace period, as before.

Evidence: both tests in tests/test_slow_readers.py failed before with 36,864 of 60,000 bytes, and pass now. They read the rest without the event loop, as after an exit.

--- a/src/rhubarbspan/edge/caller.py
+++ b/src/rhubarbspan/edge/caller.py
@@ -146,11 +146,12 @@
         return self._is_waiting and not self._pipeline.rows
 
     def describe(self) -> str:
-        """Name the requests in progress, and tell whether another one is arriving."""
+        """Name the requests in progress, and tell what is arriving or not yet sent."""
         transfers = [row.transfer for row in self._pipeline.rows]
         names = [row.caller_request_id for row in transfers if row is not None]
         arriving = "none" if self._is_waiting else "one"
-        return f"requests in progress {names}, arriving: {arriving}"
+        n_unsent = self._channel.n_unsent_bytes
+        return f"requests in progress {names}, arriving: {arriving}, unsent: {n_unsent}"
 
     @property
     def channel(self) -> Channel:
@@ -175,6 +176,7 @@
         finally:
             await self._wait_until_answered()
             self._channel.close()
+            await self._channel.wait_closed()
             self._on_end(self)
 
     def _limits(self) -> CallerLimits:
--- a/src/rhubarbspan/edge/channel.py
+++ b/src/rhubarbspan/edge/channel.py
@@ -32,6 +32,7 @@
         "_n_bytes",
         "_readable",
         "_writable",
+        "_closed",
         "_error",
         "is_ended",
         "is_lost",
@@ -46,6 +47,7 @@
         self._readable = asyncio.Event()
         self._writable = asyncio.Event()
         self._writable.set()
+        self._closed = asyncio.Event()
         self._error: Exception | None = None
         self._is_paused = False
         self.is_ended = False
@@ -81,6 +83,7 @@
             self._error = exc or ConnectionAbortedError("the connection was closed")
         self.is_ended = True
         self._writable.set()
+        self._closed.set()
         self._wake()
 
     def pause_writing(self) -> None:
@@ -155,6 +158,10 @@
         if self._transport is not None:
             self._transport.close()
 
+    async def wait_closed(self) -> None:
+        """Wait until a connection that is being closed has sent its written bytes."""
+        await self._closed.wait()
+
     def abort(self) -> None:
         """Discard unsent bytes and close, so that the peer sees a truncated message."""
         if self._transport is not None:
--- a/src/rhubarbspan/edge/server.py
+++ b/src/rhubarbspan/edge/server.py
@@ -34,6 +34,8 @@
 MAX_FIELD_BYTES = 16_384
 MAX_TICKETS = 20
 KEEPALIVE_TIMEOUT_S = 60.0
+# The library does not tell when a connection that it closes has sent all its bytes.
+UNSENT_POLL_S = 0.02
 
 
 @dataclass(slots=True)
@@ -99,13 +101,15 @@
         await site.start()
 
     async def stop(self) -> None:
-        """Stop listening and wait for responses in progress.
+        """Stop listening and wait until the responses in progress are sent.
 
         A request whose body is still arriving is waited for as long as the grace period
         allows.
         """
-        if self._runner is None:
+        if self._runner is None or self._runner.server is None:
             return
+        connections = self._runner.server.connections
+        transports = [row.transport for row in connections if row.transport is not None]
         timeout_s = KEEPALIVE_TIMEOUT_S
         departure = self._ticker.world.departure
         if departure is not None:
@@ -113,6 +117,8 @@
         try:
             async with asyncio.timeout(timeout_s):
                 await self._runner.cleanup()
+                while any(row.get_write_buffer_size() for row in transports):
+                    await asyncio.sleep(UNSENT_POLL_S)
         except TimeoutError:
             self._ticker.world.count("connections_cut")
             LOG.warning("connections cut at the stop: their requests did not end")
