Read the messages of one instance at a bounded pace

Callers of an instance that another one sent frames of tiny messages got one answer with 200 and eight refusals in 4 s (397 answers without it), p99 3.0 s; heartbeats without end took the whole processor (4.2 s in 5 s, p99 162 ms against 112), and so did frames that are none (5.1 s, with 180 MB of memory at the peak).

Cause: a message was bounded in size only. A frame of 4 MB could hold a million messages, which were decoded and handled without a turn for anyone else, and the next one followed.

Change: one meter for each stream, by the pace of the meter of messages: each message or kibibyte is a piece, 1,000 a second are read, and 2,000 ahead of it; beyond that the stream waits, and so does its sender. 32 messages are a turn. A frame has at most 2,000 messages; senders never queued more than 1,000. The first time in a minute a line names the sender. Ending the stream was ruled out: its sender would begin anew at once, with as many free pieces.

All requests were answered 200. test_callers_are_served_beside_a_peer_without_end failed before: beside tiny messages no request of the others had a response, beside the other kinds no line named the sender.

--- a/src/rhubarbspan/edge/failures.py
+++ b/src/rhubarbspan/edge/failures.py
@@ -34,6 +34,11 @@
             shown = ascii(key[:MAX_SHOWN_LENGTH])
             LOG.warning("entry {}: {}", shown, reason[:MAX_SHOWN_LENGTH])
 
+    def report_pace(self, what: str) -> None:
+        """Report that something is read more slowly than it comes."""
+        if self._is_due(what):
+            LOG.warning("holds back {}", what)
+
     def report_error(self, task: str) -> None:
         """Report the exception that is being handled, with its traceback.
 
--- a/src/rhubarbspan/edge/peers.py
+++ b/src/rhubarbspan/edge/peers.py
@@ -8,10 +8,12 @@
 
 from ..effects import SendPeerMessage
 from ..inputs import PeerMessageReceived
+from ..metering import N_PIECES_PER_TURN, StreamMeter
 from ..record_checks import without_unusable
 from ..verdict import Failure
 from ..wire.peer import (
     MAX_MESSAGE_BYTES,
+    N_MAX_MESSAGES_PER_FRAME,
     decode_frame,
     decode_message,
     encode_frame,
@@ -106,7 +108,11 @@
         while True:
             messages = [await self._queue.get()]
             n_bytes = len(messages[0])
-            while not self._queue.empty() and n_bytes < MAX_JOINED_BYTES:
+            while (
+                not self._queue.empty()
+                and n_bytes < MAX_JOINED_BYTES
+                and len(messages) < N_MAX_MESSAGES_PER_FRAME
+            ):
                 messages.append(self._queue.get_nowait())
                 n_bytes += len(messages[-1])
             yield encode_frame(messages)
@@ -191,18 +197,40 @@
     async def _receive(
         self, frames: AsyncIterator[bytes], context: grpc.aio.ServicerContext
     ) -> bytes:
+        """Read the messages of one instance, at a bounded pace."""
+        sender = context.peer()
+        meter = StreamMeter(self._ticker.now_s())
         async for frame in frames:
             messages = decode_frame(frame)
             if isinstance(messages, Failure):
-                self._ticker.world.count("peer_messages_malformed")
+                self._report_malformed(sender, messages)
+                await self._pace(sender, meter, len(frame))
                 continue
-            for data in messages:
-                self._handle_message(data)
+            for position, data in enumerate(messages, 1):
+                self._handle_message(sender, data)
+                is_turn_over = position % N_PIECES_PER_TURN == 0
+                await self._pace(sender, meter, len(data), is_turn_over)
         return b""
 
-    def _handle_message(self, data: bytes) -> None:
+    async def _pace(
+        self, sender: str, meter: StreamMeter, n_bytes: int, is_turn_over: bool = True
+    ) -> None:
+        """Wait while a sender is ahead of the pace, or let others run for a turn."""
+        meter.record(n_bytes, self._ticker.now_s())
+        delay_s = meter.delay_s()
+        if delay_s > 0:
+            self._ticker.world.count("peer_messages_held_back")
+            self._failures.report_pace(f"messages of the instance at {sender}")
+        if delay_s > 0 or is_turn_over:
+            await asyncio.sleep(delay_s)
+
+    def _report_malformed(self, sender: str, failure: Failure) -> None:
+        self._ticker.world.count("peer_messages_malformed")
+        self._failures.report_entry(f"message of {sender}", failure.reason)
+
+    def _handle_message(self, sender: str, data: bytes) -> None:
         message = decode_message(data)
         if isinstance(message, Failure):
-            self._ticker.world.count("peer_messages_malformed")
+            self._report_malformed(sender, message)
             return
         self._ticker.inputs.on_next(PeerMessageReceived(without_unusable(message)))
--- a/src/rhubarbspan/metering.py
+++ b/src/rhubarbspan/metering.py
@@ -61,3 +61,27 @@
             return False
         n_paid = N_FREE_TINY_PIECES + (now_s - self.started_s) * PIECES_PER_S
         return self.n_pieces > n_paid
+
+
+@dataclass(slots=True)
+class StreamMeter:
+    """The pieces of a stream without end, of which all bytes are work.
+
+    Attributes:
+        read_s: When the last piece was read.
+        n_ahead: Pieces by which the sender is ahead of the pace.
+    """
+
+    read_s: float
+    n_ahead: float = 0.0
+
+    def record(self, n_bytes: int, now_s: float) -> None:
+        """Count a piece; a large one counts as several."""
+        n_due = (now_s - self.read_s) * PIECES_PER_S
+        n_pieces = 1 + n_bytes / PAYLOAD_BYTES_PER_PIECE
+        self.n_ahead = max(0.0, self.n_ahead - n_due) + n_pieces
+        self.read_s = now_s
+
+    def delay_s(self) -> float:
+        """Return how long to wait before the next piece is read."""
+        return max(0.0, (self.n_ahead - N_FREE_PIECES) / PIECES_PER_S)
--- a/src/rhubarbspan/wire/peer.py
+++ b/src/rhubarbspan/wire/peer.py
@@ -13,12 +13,14 @@
 MESSAGE_TYPES: tuple[type[Any], ...] = get_args(PeerMessage)
 NUMBER_BY_TYPE = {data_class: number for number, data_class in enumerate(MESSAGE_TYPES)}
 MAX_MESSAGE_BYTES = 4_000_000
+N_MAX_MESSAGES_PER_FRAME = 2000
 # Times, rates and counts of peers stay far below it. The range also excludes infinity
 # and NaN, with which systems could not compute.
 MAX_NUMBER = 1e15
 # Deep nesting exceeds the interpreter's recursion limit, even in fields that are
 # skipped.
 DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
+_Frame = Annotated[list[bytes], msgspec.Meta(max_length=N_MAX_MESSAGES_PER_FRAME)]
 _BoundedFloat = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 
 
@@ -75,6 +77,7 @@
     msgspec.msgpack.Decoder(struct) for struct in _STRUCTS
 ]
 _ENCODER = msgspec.msgpack.Encoder()
+_FRAME_DECODER: msgspec.msgpack.Decoder[list[bytes]] = msgspec.msgpack.Decoder(_Frame)
 
 
 def encode_message(message: PeerMessage) -> bytes:
@@ -107,7 +110,7 @@
 
 
 def encode_frame(messages: list[bytes]) -> bytes:
-    """Join encoded messages to one frame.
+    """Join encoded messages to one frame, at most ``N_MAX_MESSAGES_PER_FRAME``.
 
     Example:
         >>> decode_frame(encode_frame([b"a", b"bc"]))
@@ -119,6 +122,6 @@
 def decode_frame(data: bytes) -> list[bytes] | Failure:
     """Split a frame into its encoded messages."""
     try:
-        return msgspec.msgpack.decode(data, type=list[bytes])
+        return _FRAME_DECODER.decode(data)
     except DECODE_ERRORS as error:
         return Failure("malformed-frame", str(error))
--- a/tests/costly_report.py
+++ b/tests/costly_report.py
@@ -15,6 +15,7 @@
 
 from process_caller import LARGE_CHUNK, TINY_CHUNKS, Caller, send_chunks
 from process_fleet import ProcessFleet
+from process_peer import FRAMES, PeerFrame, send_frames
 from rhubarbspan.standins.platform_server import Fault
 
 N_SERVERS = 20
@@ -22,12 +23,13 @@
 N_CALLERS = 8
 N_FAULTS = 100_000
 N_CHUNKS = 50_000
-KINDS: dict[str, Fault | bytes] = {
+KINDS: dict[str, Fault | PeerFrame | bytes] = {
     "server, tiny chunks": Fault.ENDLESS_TINY_CHUNKS,
     "server, 421 in tiny chunks": Fault.ENDLESS_MISDIRECTED,
     "server, 503 not run": Fault.ENDLESS_SHED,
     "callers, tiny chunks": TINY_CHUNKS,
     "callers, large chunks": LARGE_CHUNK,
+    **FRAMES,
 }
 
 
@@ -61,7 +63,9 @@
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
-async def run_kind(kind: Fault | bytes, n_senders: int, for_s: float) -> Row:
+async def run_kind(
+    kind: Fault | PeerFrame | bytes, n_senders: int, for_s: float
+) -> Row:
     """Run a fleet with a number of senders of a kind."""
     row = Row()
     with tempfile.TemporaryDirectory() as folder:
@@ -90,7 +94,7 @@
 
 
 def start_senders(
-    fleet: ProcessFleet, kind: Fault | bytes, n_senders: int
+    fleet: ProcessFleet, kind: Fault | PeerFrame | bytes, n_senders: int
 ) -> list[asyncio.Task[object]]:
     """Start the senders; callers among them begin anew when they are cut off."""
     match kind:
@@ -98,6 +102,11 @@
             for server in fleet.deployment.servers[:n_senders]:
                 server.faults = [kind] * N_FAULTS
             return []
+        case PeerFrame(data=data):
+            return [
+                asyncio.create_task(send_frames(fleet.instances[0], data))
+                for _ in range(n_senders)
+            ]
         case chunk:
             return [
                 asyncio.create_task(send_again(fleet, chunk, number))
@@ -118,8 +127,11 @@
     """Print a row for each kind and number of senders."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=6.0)
+    parser.add_argument("--kind", default="", help="part of the names of kinds")
     arguments = parser.parse_args()
     for name, kind in KINDS.items():
+        if arguments.kind not in name:
+            continue
         for n_senders in (0, 1, 10):
             row = asyncio.run(run_kind(kind, n_senders, arguments.seconds))
             print(f"{name}, {n_senders} senders: {row.describe()}", flush=True)
--- a/tests/test_costly_senders.py
+++ b/tests/test_costly_senders.py
@@ -11,6 +11,7 @@
 from conftest import run_in_fleet
 from process_caller import LARGE_CHUNK, TINY_CHUNKS, Caller, send_chunks
 from process_fleet import ProcessFleet
+from process_peer import FRAMES, send_frames
 from rhubarbspan.standins.platform_server import Fault
 
 N_SERVERS = 10
@@ -139,3 +140,20 @@
         assert fleet.runs_of("id-/put/slow") == 1
 
     run_small_fleet(work)
+
+
+# An instance read one peer's frames for seconds, while all its callers waited.
+@pytest.mark.parametrize("kind", FRAMES)
+def test_callers_are_served_beside_a_peer_without_end(
+    run_small_fleet: RunSmallFleet, kind: str
+) -> None:
+    async def work(fleet: ProcessFleet) -> None:
+        (instance,) = fleet.instances
+        sending = asyncio.create_task(send_frames(instance, FRAMES[kind].data))
+        statuses = await call_others(fleet)
+        sending.cancel()
+        assert set(statuses) == {200}
+        texts = [str(line["text"]) for line in fleet.log_lines("holds back")]
+        assert 1 <= len(texts) <= 2, texts
+
+    run_small_fleet(work)
