Judge a server whose refusals have no end, and measure senders apart from callers

With ten of twenty servers that answered 503 not run with a body without end, 82 of 456 requests of others were not answered 200: such a refusal is tried elsewhere, but its server was never judged for it and got the next request as well. A refusal whose body is given up for its length or its pieces now counts as a failure of its server; one that is only slow does not, as a network can be.

--- a/src/rhubarbspan/bodies.py
+++ b/src/rhubarbspan/bodies.py
@@ -88,13 +88,16 @@
     return bytes(body)
 
 
-async def skip_body(response: aiohttp.ClientResponse) -> None:
-    """Read the rest of a body that nobody needs, or close its connection."""
+async def skip_body(response: aiohttp.ClientResponse) -> bool:
+    """Read the rest of a body that nobody needs, or close its connection.
+
+    Returns:
+        Whether it was given up for its length or its pieces, and not for its pace.
+    """
     try:
         async with asyncio.timeout(SKIPPED_S):
             rest = await read_body(response, SKIPPED_BYTES)
     except (aiohttp.ClientError, TimeoutError):
         response.close()
-        return
-    if isinstance(rest, Failure):
-        response.close()
+        return False
+    return isinstance(rest, Failure)
--- a/src/rhubarbspan/edge/backend.py
+++ b/src/rhubarbspan/edge/backend.py
@@ -145,8 +145,7 @@
                 server_response.status == SHED_STATUS
                 and SHED_HEADER in server_response.headers
             ):
-                await skip_body(server_response)
-                return Shed()
+                return Shed(is_broken=await skip_body(server_response))
             return await self._forward_response(exchange, server_response, effect)
 
     async def _body(
--- a/src/rhubarbspan/edge/upstream.py
+++ b/src/rhubarbspan/edge/upstream.py
@@ -30,7 +30,7 @@
     parse_response_headers,
 )
 from .channel import Channel
-from .parsing import next_event
+from .parsing import TooManyPiecesError, next_event
 from .streaming import SUCCESS_STATUSES, send_body, stream_and_receive
 from .ticker import Ticker
 from .transfer import ServerResponse, Transfer, Transfers
@@ -340,8 +340,8 @@
         if fields.is_not_run or is_misdirected:
             # Its head decides the outcome, whatever the body does.
             connection.refused_ids.add(transfer.caller_request_id)
-            await _skip_refusal_body(connection.channel, exchange)
-            return Misdirected() if is_misdirected else Shed()
+            is_broken = await _skip_refusal_body(connection.channel, exchange)
+            return Misdirected() if is_misdirected else Shed(is_broken)
         _check_response(head, fields)
         body = await self._read_body(transfer, connection.channel, exchange, head)
         if not transfer.has_response_started:
@@ -422,10 +422,13 @@
         await _skip_unsolicited_response(channel, exchange)
 
 
-async def _skip_refusal_body(channel: Channel, exchange: Exchange) -> None:
+async def _skip_refusal_body(channel: Channel, exchange: Exchange) -> bool:
     """Read the body of a refusal up to a bound.
 
     If it does not end within it, the connection cannot be used again.
+
+    Returns:
+        Whether it was given up for its length or its pieces, and not for its pace.
     """
     n_bytes = 0
     try:
@@ -433,10 +436,15 @@
             while n_bytes <= REFUSAL_BODY_BYTES:
                 event = await next_event(channel, exchange.parser, exchange.meter)
                 if not isinstance(event, h11.Data):
-                    return
+                    return False
                 n_bytes += len(event.data)
+    except TooManyPiecesError as error:
+        LOG.debug("the body of a refusal was given up: {}", error)
+        return True
     except (TimeoutError, ConnectionError, h11.RemoteProtocolError) as error:
         LOG.debug("the body of a refusal did not end: {}", error)
+        return False
+    return True
 
 
 async def _skip_unsolicited_response(channel: Channel, exchange: Exchange) -> None:
--- a/src/rhubarbspan/inputs.py
+++ b/src/rhubarbspan/inputs.py
@@ -59,7 +59,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Shed:
-    """The backend server refused the request without running it."""
+    """The backend server refused the request without running it.
+
+    Attributes:
+        is_broken: Whether the refusal's body was given up for its length or pieces.
+    """
+
+    is_broken: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/rhubarbspan/systems/outcomes.py
+++ b/src/rhubarbspan/systems/outcomes.py
@@ -88,7 +88,9 @@
                 world, now_s, server, status >= SERVER_ERROR_STATUS
             )
             return effects + complete_request(world, now_s, row, status)
-        case Shed():
+        case Shed(is_broken=is_broken):
+            if is_broken:
+                effects += _update_failure_rate(world, now_s, server, True)
             # The lender of a borrowed slot records the shed, once the slot is returned.
             if server is not None and not was_slot_borrowed:
                 record_shed(world, now_s, server)
--- a/tests/costly_report.py
+++ b/tests/costly_report.py
@@ -1,21 +1,23 @@
 """Reports what other callers see beside senders whose messages have no end.
 
 By hand: ``python tests/costly_report.py``. It runs one instance and twenty servers with
-none, one and ten such senders of each kind, and prints a row for each.
+none, one and ten such senders of each kind, and prints a row for each. Callers and
+peers that send so are processes of their own, as they would slow the others' down.
 """
 
 import argparse
 import asyncio
 import os
 import random
+import sys
 import tempfile
 from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from process_caller import LARGE_CHUNK, TINY_CHUNKS, Caller, send_chunks
+from process_caller import LARGE_CHUNK, TINY_CHUNKS, Caller, send_chunks_to
 from process_fleet import ProcessFleet
-from process_peer import FRAMES, PeerFrame, send_frames
+from process_peer import FRAMES, PeerFrame, peer_address, send_frames
 from rhubarbspan.standins.platform_server import Fault
 
 N_SERVERS = 20
@@ -63,20 +65,20 @@
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
-async def run_kind(
-    kind: Fault | PeerFrame | bytes, n_senders: int, for_s: float
-) -> Row:
+async def run_kind(name: str, n_senders: int, for_s: float) -> Row:
     """Run a fleet with a number of senders of a kind."""
+    kind = KINDS[name]
     row = Row()
     with tempfile.TemporaryDirectory() as folder:
         fleet = ProcessFleet(Path(folder), random.Random(1))
+        senders: list[asyncio.subprocess.Process] = []
         try:
             await fleet.start(1, [SERVICE_S] * N_SERVERS)
             await asyncio.sleep(1.0)
             process = fleet.instances[0].running
             assert process is not None
             started_s = processor_s(process.pid)
-            uploads = start_senders(fleet, kind, n_senders)
+            senders = await start_senders(fleet, kind, name, n_senders)
             until_s = asyncio.get_running_loop().time() + for_s
             callers = [
                 Caller(fleet, f"c{number}", "a-1", random.Random(number), method="GET")
@@ -84,43 +86,46 @@
             ]
             await asyncio.gather(*(caller.run(until_s) for caller in callers))
             row.processor_s = processor_s(process.pid) - started_s
-            for upload in uploads:
-                upload.cancel()
             row.statuses.update(sending.status for sending in fleet.sendings)
             row.latencies_s = [s.ended_s - s.begun_s for s in fleet.sendings]
         finally:
+            for sender in senders:
+                sender.kill()
+                await sender.wait()
             await fleet.close()
     return row
 
 
-def start_senders(
-    fleet: ProcessFleet, kind: Fault | PeerFrame | bytes, n_senders: int
-) -> list[asyncio.Task[object]]:
-    """Start the senders; callers among them begin anew when they are cut off."""
-    match kind:
-        case Fault():
-            for server in fleet.deployment.servers[:n_senders]:
-                server.faults = [kind] * N_FAULTS
-            return []
-        case PeerFrame(data=data):
-            return [
-                asyncio.create_task(send_frames(fleet.instances[0], data))
-                for _ in range(n_senders)
-            ]
-        case chunk:
-            return [
-                asyncio.create_task(send_again(fleet, chunk, number))
-                for number in range(n_senders)
-            ]
+async def start_senders(
+    fleet: ProcessFleet, kind: Fault | PeerFrame | bytes, name: str, n_senders: int
+) -> list[asyncio.subprocess.Process]:
+    """Start the senders; servers among them are those of the fleet."""
+    if isinstance(kind, Fault):
+        for server in fleet.deployment.servers[:n_senders]:
+            server.faults = [kind] * N_FAULTS
+        return []
+    (instance,) = fleet.instances
+    is_peer = isinstance(kind, PeerFrame)
+    address = peer_address(instance) if is_peer else instance.addresses["front"]
+    return [
+        await asyncio.create_subprocess_exec(
+            *(sys.executable, __file__, "--kind", name, "--send-to", address)
+        )
+        for _ in range(n_senders)
+    ]
 
 
-async def send_again(fleet: ProcessFleet, chunk: bytes, number: int) -> None:
-    """Send uploads one after the other, each until it is cut off."""
-    n_sent = 0
-    while True:
-        n_sent += 1
-        await send_chunks(fleet, chunk, N_CHUNKS, f"costly-{number}-{n_sent}")
-        await asyncio.sleep(0.1)
+async def send_without_end(kind: Fault | PeerFrame | bytes, address: str) -> None:
+    """Be a sender of a kind; callers begin anew when they are cut off."""
+    match kind:
+        case PeerFrame(data=data):
+            await send_frames(address, data)
+        case bytes():
+            while True:
+                await send_chunks_to(address, kind, N_CHUNKS, f"costly-{os.getpid()}")
+                await asyncio.sleep(0.1)
+        case Fault():
+            raise ValueError("servers belong to the fleet")
 
 
 def main() -> None:
@@ -128,12 +133,15 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=6.0)
     parser.add_argument("--kind", default="", help="part of the names of kinds")
+    parser.add_argument("--send-to", default="", help="be a sender to this address")
     arguments = parser.parse_args()
-    for name, kind in KINDS.items():
+    if arguments.send_to:
+        asyncio.run(send_without_end(KINDS[arguments.kind], arguments.send_to))
+    for name in KINDS:
         if arguments.kind not in name:
             continue
         for n_senders in (0, 1, 10):
-            row = asyncio.run(run_kind(kind, n_senders, arguments.seconds))
+            row = asyncio.run(run_kind(name, n_senders, arguments.seconds))
             print(f"{name}, {n_senders} senders: {row.describe()}", flush=True)
 
 
--- a/tests/process_caller.py
+++ b/tests/process_caller.py
@@ -135,8 +135,16 @@
     fleet: ProcessFleet, chunk: bytes, n_chunks: int, name: str, pause_s: float = 0.0
 ) -> Reply | None:
     """Send an upload in chunks, also after its response; return the response."""
+    address = fleet.instances[0].addresses["front"]
+    return await send_chunks_to(address, chunk, n_chunks, name, pause_s)
+
+
+async def send_chunks_to(
+    address: str, chunk: bytes, n_chunks: int, name: str, pause_s: float = 0.0
+) -> Reply | None:
+    """Send an upload in chunks to an address, as above."""
     try:
-        reader, writer = await connect(fleet.instances[0].addresses["front"])
+        reader, writer = await connect(address)
     except OSError:
         return None
     headers = {"Content_Length": "", "Transfer_Encoding": "chunked"}
--- a/tests/process_peer.py
+++ b/tests/process_peer.py
@@ -36,10 +36,14 @@
 }
 
 
-async def send_frames(instance: InstanceProcess, frame: bytes) -> None:
-    """Send a frame over and over, on a new stream when one has ended."""
+def peer_address(instance: InstanceProcess) -> str:
+    """Return the address at which an instance listens for others."""
     settings = json.loads(instance.file.read_text())
-    address = f"127.0.0.1:{settings['internalPortRange'][0]}"
+    return f"127.0.0.1:{settings['internalPortRange'][0]}"
+
+
+async def send_frames(address: str, frame: bytes) -> None:
+    """Send a frame over and over, on a new stream when one has ended."""
     while True:
         async with grpc.aio.insecure_channel(address) as channel:
             call = channel.stream_unary(f"/{SERVICE}/{METHOD}")()
--- a/tests/test_costly_senders.py
+++ b/tests/test_costly_senders.py
@@ -11,7 +11,7 @@
 from conftest import run_in_fleet
 from process_caller import LARGE_CHUNK, TINY_CHUNKS, Caller, send_chunks
 from process_fleet import ProcessFleet
-from process_peer import FRAMES, send_frames
+from process_peer import FRAMES, peer_address, send_frames
 from rhubarbspan.standins.platform_server import Fault
 
 N_SERVERS = 10
@@ -149,7 +149,9 @@
 ) -> None:
     async def work(fleet: ProcessFleet) -> None:
         (instance,) = fleet.instances
-        sending = asyncio.create_task(send_frames(instance, FRAMES[kind].data))
+        sending = asyncio.create_task(
+            send_frames(peer_address(instance), FRAMES[kind].data)
+        )
         statuses = await call_others(fleet)
         sending.cancel()
         assert set(statuses) == {200}
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -105,6 +105,22 @@
     assert verdicts(effects) == ([verdict] if verdict else [])
 
 
+# A server that refused each request with a body without end was never judged for it.
+@pytest.mark.parametrize("is_broken", [False, True])
+def test_refusal_without_end_counts_as_a_failure_of_its_server(
+    single: Document, make_world: MakeWorld, is_broken: bool
+) -> None:
+    world = make_world(single, n_servers=2)
+    effects = run_tick(world, NOW_S, [RequestArrived(1, "/look", KEY)])
+    (first,) = attempts(effects)
+    ended = AttemptEnded(1, first.attempt_id, Shed(is_broken))
+    (second,) = attempts(run_tick(world, NOW_S + 0.1, [ended]))
+    assert second.server_id != first.server_id
+    server = world.servers.get(first.server_id)
+    assert server is not None
+    assert (server.failure_rate > 0.0) == is_broken
+
+
 @pytest.mark.parametrize(
     ("outcome", "verdict"),
     [
