Count four kibibytes of a peer's stream as one piece

The largest message that an instance may send counted as 2,000 pieces or more, so that the heartbeats behind it could wait for seconds, longer than a silent instance counts as alive.

--- a/src/rhubarbspan/metering.py
+++ b/src/rhubarbspan/metering.py
@@ -20,6 +20,8 @@
 # than this number of pieces.
 MIN_PIECE_BYTES = 16
 N_FREE_TINY_PIECES = 256
+# Bytes of a stream without end that count as one piece more.
+STREAM_BYTES_PER_PIECE = 4096
 # Header lines of one message.
 N_MAX_HEADER_LINES = 256
 # Pieces that are read in one turn; others run before the next turn.
@@ -78,7 +80,7 @@
     def record(self, n_bytes: int, now_s: float) -> None:
         """Count a piece; a large one counts as several."""
         n_due = (now_s - self.read_s) * PIECES_PER_S
-        n_pieces = 1 + n_bytes / PAYLOAD_BYTES_PER_PIECE
+        n_pieces = 1 + n_bytes / STREAM_BYTES_PER_PIECE
         self.n_ahead = max(0.0, self.n_ahead - n_due) + n_pieces
         self.read_s = now_s
 
--- a/tests/test_endless_bodies.py
+++ b/tests/test_endless_bodies.py
@@ -11,9 +11,10 @@
 from rhubarbspan import fleet_client
 from rhubarbspan.edge.store import HttpStore
 from rhubarbspan.fleet_client import Target
-from rhubarbspan.metering import N_FREE_PIECES, PieceMeter
+from rhubarbspan.metering import N_FREE_PIECES, PieceMeter, StreamMeter
 from rhubarbspan.platform.store import PlatformStore
 from rhubarbspan.verdict import Failure
+from rhubarbspan.wire.peer import MAX_MESSAGE_BYTES
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -226,3 +227,20 @@
     for _ in range(100 * N_FREE_PIECES):
         meter.record(1024)
     assert meter.delay_s(0.0) == 0.0
+
+
+def test_two_of_the_largest_messages_of_an_instance_do_not_delay_the_next() -> None:
+    meter = StreamMeter(0.0)
+    for _ in range(2):
+        meter.record(MAX_MESSAGE_BYTES, 0.0)
+    meter.record(100, 0.0)
+    assert meter.delay_s() == 0.0
+
+
+def test_stream_that_was_ahead_is_read_at_once_after_a_pause() -> None:
+    meter = StreamMeter(0.0)
+    for _ in range(3 * N_FREE_PIECES):
+        meter.record(1, 0.0)
+    assert 1.0 < meter.delay_s() < 5.0
+    meter.record(1, 10.0)
+    assert meter.delay_s() == 0.0
