Ignore SIGHUP in an entry

A SIGHUP, which terminals, log rotation and service managers send, ended an entry at once: 2 of 2 orders in progress were lost. Its settings are read at the start, so that there is nothing to read again; on the platform the signal reloads them, as before.

test_hangup_does_not_end_an_entry failed before (both orders lost) and passes now.

--- a/src/rhubarbspan/__main__.py
+++ b/src/rhubarbspan/__main__.py
@@ -5,10 +5,10 @@
 import sys
 
 if __name__ == "__main__":
-    is_server = sys.argv[1:2] == ["serve"]
+    is_server = sys.argv[1:2] in (["serve"], ["entry"])
     if is_server:
-        # A server reloads its settings at SIGHUP. Before its handler is set, and after
-        # it is removed, the signal would end the process.
+        # On the platform a server reloads its settings at SIGHUP. Before its handler is
+        # set, and after it is removed, the signal would end the process.
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
     # Imported here because it takes a while.
@@ -17,7 +17,6 @@
     status = main()
     if is_server:
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    if sys.argv[1:2] in (["serve"], ["entry"]):
         # Everything is closed. On a busy machine the end of the interpreter takes long
         # enough to meet the SIGKILL of a planned stop.
         sys.stdout.flush()
--- a/tests/entry_process.py
+++ b/tests/entry_process.py
@@ -1,6 +1,7 @@
 """A daemon of the own interface that runs as a process beside stand-ins."""
 
 import asyncio
+import contextlib
 import os
 import signal
 import sys
@@ -29,57 +30,83 @@
 
     Attributes:
         results: What callers saw, with the time of sending.
-        exited_s: When the process ended, by the event loop's clock.
+        terminated_s: When it was asked to stop last, by the event loop's clock.
+        exited_s: When the process ended after that.
         was_killed: Whether it still ran at the end of the grace period.
     """
 
     folder: Path
     deployment: Deployment
+    seat: str = "x-1"
     address: str = field(default_factory=free_address)
+    peer_address: str = field(default_factory=free_address)
     running: asyncio.subprocess.Process | None = None
     results: list[tuple[float, CallResult]] = field(default_factory=list)
+    terminated_s: float = 0.0
     exited_s: float = 0.0
     was_killed: bool = False
 
     async def start(self) -> None:
         """Start the stand-ins and the daemon, and wait until it serves."""
         await self.deployment.start(seats=[])
+        await self.start_process()
+        await self.wait_until_serving()
+
+    async def start_process(self) -> None:
+        """Start the daemon; its log goes to a file."""
+        data_centre = self.seat.rpartition("-")[0]
         lines = [
             "[instance]",
-            "seat = x-1",
-            "data_centre = x",
-            "region = r",
+            f"seat = {self.seat}",
+            f"data_centre = {data_centre}",
+            f"region = {self.deployment.configuration.region_of(data_centre)}",
             f"listen = {self.address}",
-            f"peer_listen = {free_address()}",
+            f"peer_listen = {self.peer_address}",
             f"grace_s = {GRACE_S:g}",
             "[platform]",
             f"store = {self.deployment.store.address}",
         ]
-        file = self.folder / "entry.ini"
+        file = self.folder / f"{self.seat}.ini"
         file.write_text("\n".join(lines))
-        with (self.folder / "entry.log").open("wb") as log:
+        with (self.folder / f"{self.seat}.log").open("ab") as log:
             self.running = await asyncio.create_subprocess_exec(
                 *(sys.executable, "-m", "rhubarbspan", "entry", "--settings", file),
                 env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
                 stderr=log,
             )
+
+    async def wait_until_serving(self) -> None:
+        """Wait until a look-up is answered by a server."""
         async with CallerStandIn([self.address], KEY) as caller:
             async with asyncio.timeout(START_S):
                 while (await caller.send(self.address, "/look/first")).status != 200:
                     await asyncio.sleep(0.1)
 
+    def is_running(self) -> bool:
+        """Return whether the process has been started and has not exited."""
+        return self.running is not None and self.running.returncode is None
+
+    def send_signal(self, number: int) -> None:
+        """Send the process a signal if it runs."""
+        if self.running is not None and self.running.returncode is None:
+            # The library's own way may take the exit status from its watcher.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.running.pid, number)
+
     async def stop(self) -> None:
         """Stop the daemon as a platform does: SIGTERM, and later SIGKILL."""
         assert self.running is not None
-        self.running.send_signal(signal.SIGTERM)
+        loop = asyncio.get_running_loop()
+        self.terminated_s = loop.time()
+        self.send_signal(signal.SIGTERM)
         try:
             async with asyncio.timeout(GRACE_S):
                 await self.running.wait()
         except TimeoutError:
             self.was_killed = True
-            self.running.kill()
+            self.send_signal(signal.SIGKILL)
             await self.running.wait()
-        self.exited_s = asyncio.get_running_loop().time()
+        self.exited_s = loop.time()
 
     async def close(self) -> None:
         """End the process and the stand-ins."""
--- a/tests/test_entry_stops.py
+++ b/tests/test_entry_stops.py
@@ -1,6 +1,7 @@
 """Tests of planned stops of the product's own interface, as a process."""
 
 import asyncio
+import signal
 
 from edge_site import KEY
 from entry_process import Entry, RunEntry
@@ -39,3 +40,16 @@
         assert not entry.was_killed
 
     run_entry(work)
+
+
+# LOST: the signal ended the process at once, with everything in progress.
+def test_hangup_does_not_end_an_entry(run_entry: RunEntry) -> None:
+    async def work(entry: Entry) -> None:
+        orders = asyncio.create_task(entry.send_orders(0.0, 0.4, 0.2))
+        await asyncio.sleep(1.0)
+        entry.send_signal(signal.SIGHUP)
+        await orders
+        assert [result.verdict for _, result in entry.results] == ["answered"] * 2
+        assert entry.is_running()
+
+    run_entry(work)
