--- a/tests/test_costly_entry.py
+++ b/tests/test_costly_entry.py
@@ -1,16 +1,14 @@
 """Tests of bodies without end on the own interface: others are served as without."""
 
 import asyncio
-import contextlib
 from collections import Counter
 
 import pytest
 
 from edge_site import KEY
-from entry_process import Entry, RunEntry
+from entry_process import Entry, RunEntry, send_body
 from process_caller import LARGE_CHUNK, TINY_CHUNKS
 from rhubarbspan.standins.caller import CallerStandIn
-from rhubarbspan.standins.platform_deployment import Reply, read_reply
 
 RUN_S = 3.0
 N_CALLERS = 8
@@ -18,33 +16,6 @@
 N_CHUNKS = 100_000
 
 
-async def connect(entry: Entry) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-    """Open a connection to the daemon."""
-    host, _, port = entry.address.rpartition(":")
-    return await asyncio.open_connection(host, int(port))
-
-
-async def send_body(
-    entry: Entry, framing: str, chunk: bytes, n_chunks: int, pause_s: float = 0.0
-) -> Reply | None:
-    """Send an upload, also after its response; return the response if there is one."""
-    reader, writer = await connect(entry)
-    head = f"POST /put/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {KEY}\r\n"
-    writer.write(f"{head}{framing}\r\n\r\n".encode())
-    with contextlib.suppress(OSError):
-        for _ in range(n_chunks):
-            writer.write(chunk)
-            await writer.drain()
-            await asyncio.sleep(pause_s)
-        writer.write(b"0\r\n\r\n")
-    try:
-        return await read_reply(reader)
-    except (OSError, TimeoutError):
-        return None
-    finally:
-        writer.close()
-
-
 async def call_others(entry: Entry) -> Counter[int]:
     """Send look-ups of other callers for some time, and count their statuses."""
     loop = asyncio.get_running_loop()
--- a/tests/test_entry_stops.py
+++ b/tests/test_entry_stops.py
@@ -2,9 +2,13 @@
 
 import asyncio
 import signal
+from pathlib import Path
 
 from edge_site import KEY
 from entry_process import Entry, RunEntry
+from soak_entry import soak
+
+SOAK_S = 20.0
 
 
 # LOST: the own interface took orders for 4 s after the signal, whatever their timeout.
@@ -53,3 +57,11 @@
         assert entry.is_running()
 
     run_entry(work)
+
+
+def test_soak_of_entries_finds_nothing(tmp_path: Path) -> None:
+    fleet = asyncio.run(soak(1, tmp_path, SOAK_S, n_callers=16))
+    assert fleet.faults() == []
+    assert fleet.n_killed == 0
+    answered = [row for row in fleet.sent if row.result.verdict == "answered"]
+    assert len(answered) > len(fleet.sent) / 3
