End the readers of the store only when they are cancelled themselves

Cause: a cancellation passed the handlers of unexpected errors. The streams to other instances were guarded already, since gRPC does cancel calls by itself; no such call of the store's library is known, the cancellations of the tests are injected.

Change: the guard is one function, and the readers, the registration and all tasks that run on use it. Ruled out: restarting tasks that have ended, which would hide real stops.

--- a/src/rhubarbspan/edge/failures.py
+++ b/src/rhubarbspan/edge/failures.py
@@ -3,10 +3,12 @@
 import asyncio
 import sys
 from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 import logbook
 
 LOG = logbook.Logger("rhubarbspan")
+T = TypeVar("T")
 REPEAT_S = 60.0
 # Pause after an unexpected error, in case that it repeats.
 ERROR_DELAY_S = 1.0
@@ -65,6 +67,25 @@
         return True
 
 
+class CallCancelledError(Exception):
+    """A call was cancelled by its library, and not by who awaits it."""
+
+
+async def own_cancellation_only(work: Awaitable[T]) -> T:
+    """Await work that only the cancellation of this task may cancel.
+
+    Raises:
+        CallCancelledError: If anything else has cancelled it.
+    """
+    try:
+        return await work
+    except asyncio.CancelledError as error:
+        task = asyncio.current_task()
+        if task is None or task.cancelling():
+            raise
+        raise CallCancelledError from error
+
+
 async def run_on(
     work: Callable[[], Awaitable[None]], task: str, failures: FailureLog
 ) -> None:
@@ -77,7 +98,7 @@
     """
     while True:
         try:
-            await work()
+            await own_cancellation_only(work())
         except Exception:
             failures.report_error(task)
         await asyncio.sleep(ERROR_DELAY_S)
--- a/src/rhubarbspan/edge/feed.py
+++ b/src/rhubarbspan/edge/feed.py
@@ -35,7 +35,7 @@
 from ..platform.store import Item, PlatformStore, Reading
 from ..verdict import Failure
 from .entries import NO_VALUE, EntryReader, decode_guarded
-from .failures import ERROR_DELAY_S, FailureLog, run_on
+from .failures import ERROR_DELAY_S, FailureLog, own_cancellation_only, run_on
 from .ticker import Ticker
 
 LOG = logbook.Logger("rhubarbspan.store")
@@ -217,7 +217,7 @@
         """
         while True:
             try:
-                await self._read_changes(mirror)
+                await own_cancellation_only(self._read_changes(mirror))
             except Exception:
                 self._read_anew_after_error(mirror)
                 await asyncio.sleep(ERROR_DELAY_S)
--- a/src/rhubarbspan/edge/peers.py
+++ b/src/rhubarbspan/edge/peers.py
@@ -19,7 +19,7 @@
     encode_frame,
     encode_message,
 )
-from .failures import FailureLog
+from .failures import FailureLog, own_cancellation_only
 from .ticker import Ticker
 
 SERVICE = "rhubarbspan.Peer"
@@ -81,13 +81,7 @@
     async def _run(self) -> None:
         while True:
             try:
-                await self._run_channel()
-            except asyncio.CancelledError:
-                task = asyncio.current_task()
-                if task is None or task.cancelling():
-                    raise
-                # The call was cancelled by its library, and not this task.
-                self._failures.report_error("stream to an instance")
+                await own_cancellation_only(self._run_channel())
             except Exception:
                 self._failures.report_error("stream to an instance")
             self._drop_queued()
--- a/src/rhubarbspan/edge/registration.py
+++ b/src/rhubarbspan/edge/registration.py
@@ -9,7 +9,7 @@
 from ..platform.settings import PlatformSettings
 from ..platform.store import CONFLICT, PlatformStore
 from ..verdict import Failure
-from .failures import FailureLog
+from .failures import FailureLog, own_cancellation_only
 
 LOG = logbook.Logger("rhubarbspan.store")
 # The record of a crashed instance stays for this long; peers notice the crash sooner,
@@ -52,7 +52,7 @@
     async def _run(self) -> None:
         while True:
             try:
-                failure = await self._renew_or_write()
+                failure = await own_cancellation_only(self._renew_or_write())
             except Exception:
                 self._failures.report_error("registration")
                 failure = Failure("unexpected", "unexpected error")
