Give up servers and stores whose responses are skipped by the library without end

One server of an entry that sent interim responses without end: the other callers got 52 answers in place of 310, p50 596 ms, and the instance used 4.9 s of processor until the attempt's deadline; one chunk extension without end was read for 10 s, 3.4 GB and 5.1 s of processor. The store could do the same to the calls of any instance, on the platform too.

Cause: aiohttp's client skips interim responses and extensions by itself, so that neither the bound on bodies nor the meter of pieces sees them. The platform's side to servers has h11 and its bounds; the tests of the store had no such kind.

Change: all sessions are opened in one place, with connections that give a response up after eight interim responses, as the platform's side does, or when it is nearly all framing. Setting the class of a connection needs a private attribute of the library, whose version is pinned; copying its loop into a class of our own was the other way.

--- a/src/rhubarbspan/edge/backend.py
+++ b/src/rhubarbspan/edge/backend.py
@@ -8,6 +8,7 @@
 from multidict import CIMultiDict
 
 from ..bodies import CostlyBodyError, read_pieces, skip_body
+from ..client_session import open_session
 from ..effects import AbortAttempt, StartAttempt
 from ..inputs import (
     Aborted,
@@ -60,9 +61,7 @@
             limit_per_host=n_connections_per_server,
             keepalive_timeout=KEEPALIVE_S,
         )
-        self._session = aiohttp.ClientSession(
-            connector=connector, auto_decompress=False
-        )
+        self._session = open_session(connector, auto_decompress=False)
         # Only the systems decide about retries; by default, aiohttp retries requests
         # of some methods by itself.
         self._session._retry_connection = False
--- a/src/rhubarbspan/edge/probing.py
+++ b/src/rhubarbspan/edge/probing.py
@@ -5,6 +5,7 @@
 import aiohttp
 import msgspec
 
+from ..client_session import open_session
 from ..inputs import ProbeFailed, ProbeSucceeded
 from ..tables.servers import ServerRow
 from .failures import FailureLog, run_on
@@ -41,9 +42,8 @@
     def __init__(self, ticker: Ticker) -> None:
         self._ticker = ticker
         self._failures = FailureLog(ticker.world.count, ticker.now_s)
-        self._session = aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(PROBE_TIMEOUT_S)
-        )
+        timeout = aiohttp.ClientTimeout(PROBE_TIMEOUT_S)
+        self._session = open_session(timeout=timeout)
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
--- a/src/rhubarbspan/edge/store.py
+++ b/src/rhubarbspan/edge/store.py
@@ -5,6 +5,7 @@
 import aiohttp
 
 from ..bodies import read_body
+from ..client_session import open_session
 from ..keyvalue import (
     STORE_DOWN,
     STORE_GARBAGE,
@@ -56,7 +57,7 @@
         """Return the HTTP client session, which the first call creates."""
         if self._session is None:
             timeout = aiohttp.ClientTimeout(CALL_TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
-            self._session = aiohttp.ClientSession(timeout=timeout)
+            self._session = open_session(timeout=timeout)
         return self._session
 
     async def close(self) -> None:
--- a/src/rhubarbspan/edge/upstream.py
+++ b/src/rhubarbspan/edge/upstream.py
@@ -21,7 +21,11 @@
     Shed,
     TimedOut,
 )
-from ..metering import N_MAX_HEADER_LINES, PieceMeter
+from ..metering import (
+    N_MAX_HEADER_LINES,
+    N_MAX_INTERIM_RESPONSES,
+    PieceMeter,
+)
 from ..platform.headers import (
     MISDIRECTED,
     SERVICE_UNAVAILABLE,
@@ -52,8 +56,6 @@
 # it reads of their bodies.
 N_MAX_UNSOLICITED_RESPONSES = 2
 UNSOLICITED_BODY_BYTES = 1_048_576
-# Interim responses that an attempt reads before it fails.
-N_MAX_INTERIM_RESPONSES = 8
 # A connection is no longer reused after this many refusals, each of which the server
 # might send once more.
 N_MAX_REFUSALS_PER_CONNECTION = 16
--- a/src/rhubarbspan/fleet_client.py
+++ b/src/rhubarbspan/fleet_client.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from .bodies import read_body
+from .client_session import open_session
 from .edge.store import HttpStore
 from .report.burn import HistorySummary
 from .report.status import InstanceStatus
@@ -155,7 +156,7 @@
     timeout = aiohttp.ClientTimeout(REQUEST_TIMEOUT_S)
     try:
         async with (
-            aiohttp.ClientSession(timeout=timeout) as session,
+            open_session(timeout=timeout) as session,
             session.get(f"http://{target.address}{path}") as response,
         ):
             body = await read_body(response)
--- a/src/rhubarbspan/metering.py
+++ b/src/rhubarbspan/metering.py
@@ -22,6 +22,8 @@
 N_FREE_TINY_PIECES = 256
 # Bytes of a stream without end that count as one piece more.
 STREAM_BYTES_PER_PIECE = 4096
+# Interim responses before a response.
+N_MAX_INTERIM_RESPONSES = 8
 # Header lines of one message.
 N_MAX_HEADER_LINES = 256
 # Pieces that are read in one turn; others run before the next turn.
--- a/src/rhubarbspan/platform/store.py
+++ b/src/rhubarbspan/platform/store.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ..bodies import MAX_BODY_BYTES, read_body, skip_body
+from ..client_session import open_session
 from ..keyvalue import STORE_DOWN, STORE_GARBAGE, STORE_UNCLEAR
 from ..verdict import Failure
 from .records import DECODE_ERRORS
@@ -119,9 +120,8 @@
     def __init__(self, address: str, max_body_bytes: int = MAX_BODY_BYTES) -> None:
         self._base_url = f"http://{address}/api"
         self._max_body_bytes = max_body_bytes
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=15)
-        )
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=15)
+        self._session = open_session(connector)
 
     async def close(self) -> None:
         """Close all connections."""
--- a/tests/test_endless_bodies.py
+++ b/tests/test_endless_bodies.py
@@ -27,6 +27,11 @@
     "head": (HEAD + b"X-Filler: ", FILLER),
     "refusal": (b"HTTP/1.1 503 Busy\r\n\r\n", FILLER),
 }
+# What an HTTP library skips by itself.
+SKIPPED = {
+    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 2000),
+    "chunk extension": (CHUNKED + b"4;", FILLER),
+}
 MAX_BODY_BYTES = 2_000_000
 # What the buffers of sockets and transports may hold besides.
 BUFFERED_BYTES = 12_000_000
@@ -179,6 +184,19 @@
     assert endless.most_bytes < MAX_BODY_BYTES + BUFFERED_BYTES
 
 
+# The library read them until the deadline of the call, with the whole processor.
+@pytest.mark.parametrize("kind", SKIPPED)
+@pytest.mark.parametrize("call", [read_range, watch, read_key, list_processes])
+def test_endless_response_that_a_library_skips_is_given_up(
+    endless: EndlessServer, kind: str, call: Callable[[str], Awaitable[object]]
+) -> None:
+    endless.start, endless.repeated = SKIPPED[kind]
+    result = endless.loop.run_until_complete(call(endless.address))
+    assert isinstance(result, Failure)
+    assert result.reason.endswith("ClientPayloadError")
+    assert endless.most_bytes < MAX_BODY_BYTES + BUFFERED_BYTES
+
+
 def test_store_is_heard_again_after_endless_responses(deployed: PlatformSite) -> None:
     site = deployed
     port = int(site.store.address.rpartition(":")[2])
