--- a/tests/entry_process.py
+++ b/tests/entry_process.py
@@ -10,9 +10,10 @@
 from pathlib import Path
 
 from edge_site import KEY
+from process_caller import finish_upload
 from rhubarbspan.standins.caller import CallerStandIn, CallResult
 from rhubarbspan.standins.deployment import Deployment, free_address
-from rhubarbspan.standins.platform_deployment import Reply, read_reply
+from rhubarbspan.standins.platform_deployment import Reply, connect
 
 ROOT = Path(__file__).parent.parent
 GRACE_S = 6.0
@@ -137,28 +138,11 @@
 RunEntry = Callable[..., None]
 
 
-async def connect(entry: Entry) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-    """Open a connection to the daemon."""
-    host, _, port = entry.address.rpartition(":")
-    return await asyncio.open_connection(host, int(port))
-
-
 async def send_body(
     entry: Entry, framing: str, chunk: bytes, n_chunks: int, pause_s: float = 0.0
 ) -> Reply | None:
     """Send an upload, also after its response; return the response if there is one."""
-    reader, writer = await connect(entry)
+    connection = await connect(entry.address)
     head = f"POST /put/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {KEY}\r\n"
-    writer.write(f"{head}{framing}\r\n\r\n".encode())
-    with contextlib.suppress(OSError):
-        for _ in range(n_chunks):
-            writer.write(chunk)
-            await writer.drain()
-            await asyncio.sleep(pause_s)
-        writer.write(b"0\r\n\r\n")
-    try:
-        return await read_reply(reader)
-    except (OSError, TimeoutError):
-        return None
-    finally:
-        writer.close()
+    connection[1].write(f"{head}{framing}\r\n\r\n".encode())
+    return await finish_upload(connection, chunk, n_chunks, pause_s)
--- a/tests/process_caller.py
+++ b/tests/process_caller.py
@@ -1,6 +1,7 @@
 """A caller of a fleet of processes."""
 
 import asyncio
+import contextlib
 import random
 from dataclasses import dataclass, field
 
@@ -149,14 +150,23 @@
         return None
     headers = {"Content_Length": "", "Transfer_Encoding": "chunked"}
     writer.write(request_bytes(f"/put/{name}", "PUT", **headers))
-    try:
+    return await finish_upload((reader, writer), chunk, n_chunks, pause_s)
+
+
+async def finish_upload(
+    connection: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+    chunk: bytes,
+    n_chunks: int,
+    pause_s: float,
+) -> Reply | None:
+    """Send the chunks of an upload, also after its response, and return that."""
+    reader, writer = connection
+    with contextlib.suppress(OSError):
         for _ in range(n_chunks):
             writer.write(chunk)
             await writer.drain()
             await asyncio.sleep(pause_s)
         writer.write(b"0\r\n\r\n")
-    except OSError:
-        pass
     try:
         return await read_reply(reader)
     except (OSError, TimeoutError):
