Draw peers without end in the soak as well

Frames of tiny messages and frames that are none join the kinds of costly senders that the seed draws; heartbeats of an unknown instance would change the fleet and stay with tests/costly_report.py. Seeds draw other kinds than before.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -5,6 +5,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import random
 import signal
 import sys
@@ -26,6 +27,7 @@
     send_chunks,
 )
 from process_fleet import ProcessFleet, is_ready
+from process_peer import FRAMES, peer_address, send_frames
 from rhubarbspan.standins.platform_server import Fault
 
 COSTLY_FAULTS = [
@@ -39,6 +41,10 @@
     Fault.ENDLESS_MISDIRECTED,
 ]
 COSTLY_UPLOADS = {"tiny-chunks": TINY_CHUNKS, "large-chunks": LARGE_CHUNK}
+# Heartbeats of an instance that nobody knows would change the fleet.
+COSTLY_FRAMES = {
+    name: frame for name, frame in FRAMES.items() if name != "peer, heartbeats"
+}
 COSTLY_BYTES = 50_000_000
 N_FAULTS = 10_000
 
@@ -127,16 +133,22 @@
 async def send_costly_messages_in_series(
     fleet: ProcessFleet, rng: random.Random, until_s: float, kinds: Counter[str]
 ) -> None:
-    """Have servers and callers send bytes without end, or in tiny chunks."""
+    """Have servers, callers and peers send bytes without end, or in tiny pieces."""
     loop = asyncio.get_running_loop()
     while loop.time() < until_s:
-        kind = rng.choice([*COSTLY_FAULTS, *COSTLY_UPLOADS])
+        kind = rng.choice([*COSTLY_FAULTS, *COSTLY_UPLOADS, *COSTLY_FRAMES])
         if isinstance(kind, Fault):
             kinds[kind.value] += 1
             server = rng.choice(fleet.deployment.servers)
             server.faults = [kind] * N_FAULTS
             await asyncio.sleep(rng.uniform(1.0, 3.0))
             server.faults = []
+        elif kind in COSTLY_FRAMES:
+            kinds[kind] += 1
+            address = peer_address(rng.choice(fleet.instances))
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(rng.uniform(1.0, 3.0)):
+                    await send_frames(address, COSTLY_FRAMES[kind].data)
         else:
             kinds[kind] += 1
             chunk = COSTLY_UPLOADS[kind]
