--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,95 +1,69 @@
-"""QUOTA after two of three regions lose each other, one of them with the store."""
+"""CONFIG after a valid manifest that has one route whose prefix begins with /-/."""
 
 import asyncio
 import sys
 from pathlib import Path
 
-from network import STORE, Network
 from stage import (
-    BROKEN, HELD, CannotRun, Server, Stage, manifest, now_s, path_rule, play,
-    request_bytes, send,
+    BROKEN, HELD, CannotRun, Stage, manifest, now_s, path_rule, play, request_bytes,
+    send,
 )
 
-SUR, CENTRO, NORTE = 1, 2, 3
-RATE_PER_S, BURST = 40, 40
-WINDOW_S, OVERAGE, SLACK = 5.0, 0.1, 20.0
-# Both parts of the tenant's clients ask for more than the whole limit.
-ASKED_PER_S = 60
-SETTLE_S, CUT_S = 6.0, 26.0
+PROPAGATION_S = 2.5
+WATCHED_S = 12.0
 
 
-async def ask(stage: Stage, daemon, name: str, per_s: float, until_s: float,
-              sent: dict[str, float]) -> None:
-    """Have clients of one region ask at a rate."""
+def older() -> dict:
+    """Return the manifest before: two routes to catalogo, one of them without a key."""
+    return manifest(5, [path_rule("stock", "safe", "catalogo", allowAnonymous=True),
+                        path_rule("look", "safe", "catalogo")])
 
-    async def one(request_id: str) -> None:
-        sent[request_id] = now_s()
-        answer = await send(daemon.front,
-                            request_bytes(request_id, f"/look/{number % 40}"))
-        stage.record.write(f"{request_id} sent to {daemon.name}: {answer.status}")
 
-    tasks, number = [], 0
-    while now_s() < until_s:
-        number += 1
-        tasks.append(asyncio.create_task(one(f"{name}-{number}")))
-        await asyncio.sleep(1 / per_s)
-    await asyncio.gather(*tasks)
-
-
-def most_in_window(sent: dict[str, float], stage: Stage) -> tuple[int, float]:
-    """Return the most requests that were sent and run in some window, and its start."""
-    run_s: dict[str, float] = {}
-    for server in stage.servers:
-        run_s.update(server.first_run_s)
-    rows = sorted((sent[name], at_s) for name, at_s in run_s.items())
-    return max((sum(row[1] <= begin_s + WINDOW_S for row in rows[first:]), begin_s)
-               for first, (begin_s, _) in enumerate(rows))
+def newer(has_trouble: bool) -> dict:
+    """Return the next one: a route moves, one is added, and one is under /-/."""
+    paths = [path_rule("stock", "safe", "moldes", allowAnonymous=True),
+             path_rule("look", "safe", "catalogo"),
+             path_rule("fresh", "safe", "moldes", allowAnonymous=True)]
+    if has_trouble:
+        paths.append(path_rule("-/health", "safe", "moldes", allowAnonymous=True))
+    return manifest(6, paths)
 
 
 async def case(stage: Stage, has_trouble: bool) -> int:
-    """Cut the link between sur and centro, with the store in centro."""
-    document = manifest(5, [path_rule("look", "safe")])
-    document["tenants"][0].update(ratePerS=RATE_PER_S, burst=BURST)
-    await stage.store.start()
-    stage.put_manifest(document)
-    # The servers stand in norte, which both of the others go on reaching.
-    for number in range(8):
-        server = Server(f"i-{number}", "catalogo", "norte-a", stage.record, work_s=0.02)
-        await server.start()
-        stage.servers.append(server)
-        stage.store.put(f"servers/{server.name}", server.entry())
-    network = Network([SUR, CENTRO, NORTE])
-    await network.start()
-    try:
-        sur = await network.add_daemon(stage, SUR, "sur-a")
-        centro = await network.add_daemon(stage, CENTRO, "centro-a")
-        await network.add_daemon(stage, NORTE, "norte-a")
+    """Send requests to each daemon after the acknowledgement of the next manifest."""
+    await stage.start(older(), 3)
+    await asyncio.sleep(3.0)
+    for number, daemon in enumerate(stage.daemons):
+        for path in ("stock", "look"):
+            answer = await send(daemon.front,
+                                request_bytes(f"before-{number}-{path}", f"/{path}/a"))
+            if answer.status != 200:
+                raise CannotRun(f"/{path}/ did not work before: {answer.status}")
+    acknowledged_s = stage.put_manifest(newer(has_trouble))
+    services = {server.name: server.service for server in stage.servers}
+    n_old_service = n_not_found = n_refused = n_sent = 0
+    while now_s() < acknowledged_s + WATCHED_S:
         for daemon in stage.daemons:
-            await daemon.start()
-        await stage.wait_ready()
-        await asyncio.sleep(3.0)
-        sent: dict[str, float] = {}
-        begun_s = now_s()
-        end_s = begun_s + SETTLE_S + CUT_S
-        rows = [asyncio.create_task(ask(stage, sur, "sur", ASKED_PER_S, end_s, sent))]
-        await asyncio.sleep(SETTLE_S)
-        if has_trouble:
-            network.cut(SUR, CENTRO)
-            network.cut(SUR, STORE)
-            stage.record.write("sur and centro, where the store is, lose each other")
-        rows.append(asyncio.create_task(
-            ask(stage, centro, "centro", ASKED_PER_S, end_s, sent)))
-        await asyncio.gather(*rows)
-    finally:
-        await network.stop()
-    if not any(server.runs for server in stage.servers):
-        raise CannotRun("nothing was run")
-    n_most, at_s = most_in_window(sent, stage)
-    n_allowed = (RATE_PER_S * WINDOW_S + BURST) * (1 + OVERAGE) + SLACK
-    stage.record.write(f"most requests of the tenant sent and run within 5 s: {n_most}, "
-                       f"from {at_s - begun_s:.1f} s of the traffic; allowed: "
-                       f"{n_allowed:.0f}")
-    return BROKEN if n_most > n_allowed else HELD
+            for path in ("stock", "fresh", "look"):
+                n_sent += 1
+                name = f"after-{n_sent}"
+                answer = await send(daemon.front, request_bytes(name, f"/{path}/a"))
+                age_s = answer.sent_s - acknowledged_s
+                ran = [services[s.name] for s in stage.servers if s.runs[name]]
+                stage.record.write(f"{name} /{path}/ to {daemon.name}, sent {age_s:.2f} s "
+                                   f"after the acknowledgement: {answer.status}, "
+                                   f"run by {ran}")
+                if age_s <= PROPAGATION_S:
+                    continue
+                n_old_service += path == "stock" and "catalogo" in ran
+                n_not_found += answer.status == 404
+                n_refused += path == "look" and answer.status == 503
+        await asyncio.sleep(0.3)
+    stage.record.write(f"sent over {PROPAGATION_S} s after the acknowledgement: "
+                       f"{n_old_service} run by the old service, {n_not_found} answered "
+                       f"404 though their route is there, {n_refused} with a key "
+                       f"answered 503")
+    return BROKEN if n_old_service or n_not_found else HELD
 
 
 sys.exit(play(Path(__file__).parent, case))
