Apply what the platform's store has accepted without the own interface's bounds

From 5 s on each request with a key got 503, and an instance that started then never became ready.

Cause: the operator's document is translated into the product's own and checked by check_document, whose bounds and reserved paths are those of the own interface. One problem refused the document as a whole. The same held for headerBytes of 1 MiB, times of 2 hours, priorities, rates, bursts and weights over the own bounds, names over 1,000 characters and prefixes that differ by a slash.

Change: document_rules tells whose document it is. A translated one is bounded by what the tables can hold; a value beyond is replaced by the nearest one, its entry alone is changed, and the rest is in force. The own interface refuses as before.

--- a/src/rhubarbspan/checking.py
+++ b/src/rhubarbspan/checking.py
@@ -18,7 +18,15 @@
     add_client_block,
 )
 from .document import Document
-from .sections import FULL_NAME, OPTIONS, Problem, SectionReader, is_full_name
+from .document_rules import OWN_RULES, DocumentRules, OwnRules, TranslatedRules
+from .record_checks import MAX_INTEGER
+from .sections import (
+    FULL_NAME,
+    OPTIONS,
+    Problem,
+    SectionReader,
+    is_full_name,
+)
 
 KEY_HASH_LENGTH = 64
 MAX_RATE_PER_S = 1_000_000.0
@@ -29,7 +37,10 @@
 
 
 def check_document(
-    document: Document, revision: int = 0, known: Configuration | None = None
+    document: Document,
+    revision: int = 0,
+    known: Configuration | None = None,
+    rules: DocumentRules = OWN_RULES,
 ) -> tuple[Configuration, list[Problem]]:
     """Check a whole document and build the configuration.
 
@@ -38,24 +49,30 @@
         revision: The revision that the configuration will carry.
         known: A configuration with the same data centres. Its data centres and client
             blocks are used again and not checked.
+        rules: Who has written the document.
 
     Returns:
-        The configuration and its problems. The configuration may be used only if
-        there are no problems.
+        The configuration and its problems. Under ``OwnRules`` the configuration may be
+        used only if there are no problems. Under ``TranslatedRules`` each problem has
+        changed one entry, and the configuration may be used.
     """
     problems: list[Problem] = []
-    readers = _create_readers(document, problems)
+    readers = _create_readers(document, problems, rules)
     configuration = Configuration(revision)
     _read_data_centres(configuration, readers, known)
     _read_accounts(configuration, readers, problems)
     _read_pools_routes_and_limits(configuration, readers)
     _read_shifts_and_drains(configuration, readers)
-    _check_path_prefixes(configuration, readers, problems)
+    match rules:
+        case OwnRules():
+            _check_path_prefixes(configuration, readers, problems)
+        case TranslatedRules():
+            _remove_unmatched_routes(configuration, readers, problems)
     return configuration, problems
 
 
 def _create_readers(
-    document: Document, problems: list[Problem]
+    document: Document, problems: list[Problem], rules: DocumentRules
 ) -> dict[str, dict[str, SectionReader]]:
     readers: dict[str, dict[str, SectionReader]] = {kind: {} for kind in OPTIONS}
     names: dict[tuple[str, str], str] = {}
@@ -73,7 +90,7 @@
             if key not in options:
                 accepted = "one of " + ", ".join(options)
                 problems.append(Problem(title, key, body[key], accepted))
-        reader = SectionReader(title, body, problems, options)
+        reader = SectionReader(title, body, problems, options, rules)
         _check_full_name(reader, names)
         readers[kind][name] = reader
     return readers
@@ -81,8 +98,11 @@
 
 def _check_full_name(reader: SectionReader, names: dict[tuple[str, str], str]) -> None:
     """Check a section's full name, and that no other section of its kind has it."""
-    if not is_full_name(reader.name):
-        reader.reject(FULL_NAME.key, reader.name, FULL_NAME.accepted)
+    match reader.rules:
+        case OwnRules() if not is_full_name(reader.name):
+            reader.reject(FULL_NAME.key, reader.name, FULL_NAME.accepted)
+        case OwnRules() | TranslatedRules():
+            pass
     kind = reader.title.partition(" ")[0]
     owner = names.setdefault((kind, reader.name), reader.title)
     if owner != reader.title:
@@ -222,6 +242,12 @@
         reader: The route.
         pools: Full names of the pools by the names in their titles.
     """
+    max_weight: float = MAX_RATE_PER_S
+    match reader.rules:
+        case OwnRules():
+            pass
+        case TranslatedRules():
+            max_weight = MAX_INTEGER
     weighted_pools: list[tuple[str, float]] = []
     for item in reader.items("split"):
         pool, _, text = item.partition("=")
@@ -229,12 +255,13 @@
             weight = float(text)
         except ValueError:
             weight = -1.0
-        if pool not in pools or not 0 <= weight <= MAX_RATE_PER_S:
+        if pool not in pools or not 0 <= weight <= max_weight:
             reader.reject("split", item, "the name of a pool, = and a weight")
             return ()
         weighted_pools.append((pools[pool], weight))
     if weighted_pools and not sum(weight for _, weight in weighted_pools) > 0:
         reader.reject("split", reader.text("split"), "a weight above 0")
+        return ()
     return tuple(weighted_pools)
 
 
@@ -272,6 +299,7 @@
     readers: dict[str, dict[str, SectionReader]],
     problems: list[Problem],
 ) -> None:
+    """Check that routes are distinct and leave the own interface its paths."""
     titles = {reader.name: reader.title for reader in readers["route"].values()}
     owners: dict[tuple[str, str], str] = {}
     for route in configuration.routes.values():
@@ -284,3 +312,25 @@
         if owner != route.name:
             accepted = f"a path that route {owner} does not have"
             problems.append(Problem(title, "path_prefix", prefix, accepted))
+
+
+def _remove_unmatched_routes(
+    configuration: Configuration,
+    readers: dict[str, dict[str, SectionReader]],
+    problems: list[Problem],
+) -> None:
+    """Remove routes whose prefix begins no path, or is another route's of the host."""
+    titles = {reader.name: reader.title for reader in readers["route"].values()}
+    owners: dict[tuple[str, str], str] = {}
+    for route in list(configuration.routes.values()):
+        prefix = route.path_prefix
+        accepted = ""
+        if not prefix.startswith("/"):
+            accepted = "a path that starts with /"
+        elif owners.setdefault((route.host, prefix), route.name) != route.name:
+            owner = owners[route.host, prefix]
+            accepted = f"a path that route {owner} does not have"
+        if accepted:
+            problem = Problem(titles[route.name], "path_prefix", prefix, accepted)
+            problems.append(problem)
+            del configuration.routes[route.name]
--- a/src/rhubarbspan/edge/instance.py
+++ b/src/rhubarbspan/edge/instance.py
@@ -14,6 +14,7 @@
 
 from ..bodies import MEMORY_FRACTION
 from ..clock import read_clock_s
+from ..document_rules import TranslatedRules
 from ..effects import (
     AbortAttempt,
     ApplyStoreUpdate,
@@ -87,6 +88,7 @@
     """Return the policies that keep a deployment within the bounds in its settings."""
     bounds = settings.bounds
     policies = Policies(
+        documents=TranslatedRules(),
         limits=DemandShares(),
         choice=ObjectPlacement(),
         queue_order=ByCost(needs_speed=True),
--- a/src/rhubarbspan/inspection.py
+++ b/src/rhubarbspan/inspection.py
@@ -5,6 +5,7 @@
 from .checking import check_document
 from .console import load_document, read_file
 from .document import Document
+from .document_rules import OWN_RULES, DocumentRules, TranslatedRules
 from .findings import (
     Capacity,
     Finding,
@@ -28,10 +29,12 @@
 
     Attributes:
         unused: Reason for each part that the translation left out or replaced.
+        rules: The rules for the form of the file.
     """
 
     document: Document
     unused: dict[str, str] = field(default_factory=dict)
+    rules: DocumentRules = OWN_RULES
 
 
 @dataclass(slots=True)
@@ -72,7 +75,8 @@
     unused = list_unused_parts(value)
     if isinstance(unused, Failure):
         return Failure(unused.code, f"{path}: {unused.reason}")
-    return ReadFile(translated.document, unused | translated.refused)
+    unused |= translated.refused
+    return ReadFile(translated.document, unused, TranslatedRules())
 
 
 def inspect(
@@ -87,7 +91,7 @@
         capacities: Capacities by the names of pools, for those that are known.
         in_force: The document in force, or None to compare with none.
     """
-    configuration, problems = check_document(file.document)
+    configuration, problems = check_document(file.document, rules=file.rules)
     findings = find_errors(problems) + find_unused(file.unused)
     if not problems:
         findings += find_unmatched(configuration)
--- a/src/rhubarbspan/platform/configuration.py
+++ b/src/rhubarbspan/platform/configuration.py
@@ -9,7 +9,7 @@
 
 from ..document import Document, Section
 from ..record_checks import MAX_INTEGER
-from ..sections import FULL_NAME, is_full_name
+from ..sections import FULL_NAME, is_header_value
 from ..verdict import Failure
 from .records import DECODE_ERRORS
 
@@ -187,10 +187,10 @@
     refused = {
         f"service {service.name}": "no server can have a service of this name"
         for service in decoded.services
-        if not is_full_name(service.name)
+        if not service.name
     }
     for tenant in list(decoded.tenants or []):
-        if decoded.tenants and not is_full_name(tenant.name):
+        if decoded.tenants and not is_header_value(tenant.name):
             decoded.tenants.remove(tenant)
             reason = "left out, since the name cannot be the value of a header"
             refused[f"tenant {tenant.name}"] = reason
@@ -200,7 +200,7 @@
 def _add(document: Document, kind: str, name: str, section: Section) -> None:
     """Add a section with a valid title, and with the name where the title lacks it."""
     title_name = _valid_name(name)
-    if title_name != name and is_full_name(name):
+    if title_name != name and name:
         section[FULL_NAME.key] = name
     document[f"{kind} {title_name}"] = section
 
--- a/src/rhubarbspan/policies.py
+++ b/src/rhubarbspan/policies.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, replace
 
+from .document_rules import OWN_RULES, DocumentRules
+
 # An instance that leaves stops serving this long before its grace period ends.
 GRACE_PERIOD_MARGIN_S = 1.6
 # Its last response must be ready this long before the end: a late tick and the way to
@@ -128,6 +130,7 @@
         serve_leaving_s: How long an instance that stops gracefully goes on serving.
         finish_leaving_s: How long after the stop request its requests may run. The
             process is killed soon after.
+        documents: The rules for the configuration's document.
     """
 
     limits: LimitPolicy = PooledShares()
@@ -151,6 +154,7 @@
     # The lifetime of a look-up answer, plus one second until peers know of the stop.
     serve_leaving_s: float = 4.0
     finish_leaving_s: float = float("inf")
+    documents: DocumentRules = OWN_RULES
 
 
 def with_grace_period(policies: Policies, grace_s: float) -> Policies:
--- a/src/rhubarbspan/sections.py
+++ b/src/rhubarbspan/sections.py
@@ -6,6 +6,8 @@
 from typing import TypeVar
 
 from .document import Section
+from .document_rules import OWN_RULES, DocumentRules, OwnRules, TranslatedRules
+from .record_checks import MAX_INTEGER
 
 EnumType = TypeVar("EnumType", bound=Enum)
 MAX_FULL_NAME_LENGTH = 1000
@@ -133,6 +135,7 @@
     body: Section
     problems: list[Problem]
     options: dict[str, Option] = field(default_factory=dict)
+    rules: DocumentRules = OWN_RULES
 
     @property
     def name(self) -> str:
@@ -160,17 +163,28 @@
         self.problems.append(Problem(self.title, key, value, shown))
 
     def number(self, key: str, low: float, high: float) -> float:
-        """Return a number from ``low`` to ``high``, both included."""
+        """Return a number from ``low`` to ``high``, both included.
+
+        ``high`` binds only documents of the own interface.
+        """
         return self.parse_in_range(key, float, low, high)
 
     def integer(self, key: str, low: int, high: int) -> int:
-        """Return an integer from ``low`` to ``high``, both included."""
+        """Return an integer from ``low`` to ``high``, both included.
+
+        ``high`` binds only documents of the own interface.
+        """
         return int(self.parse_in_range(key, int, low, high))
 
     def parse_in_range(
         self, key: str, parse: Callable[[str], float], low: float, high: float
     ) -> float:
-        """Return a parsed value, or ``low`` with a problem if it is out of range."""
+        """Return a parsed value, or the nearest one with a problem if out of range."""
+        match self.rules:
+            case OwnRules():
+                pass
+            case TranslatedRules():
+                high = MAX_INTEGER
         text = self.text(key)
         if not text:
             if key in self.body:
@@ -183,7 +197,7 @@
             return low
         if not low <= value <= high:
             self.reject(key, text)
-            return low
+            return high if value > high else low
         return value
 
     def choice(self, key: str, kind: type[EnumType]) -> EnumType:
@@ -223,12 +237,22 @@
 
 
 def is_full_name(text: str) -> bool:
-    """Return whether a text can be a section's full name, and a header's value.
+    """Return whether a text can be a section's full name in the own interface.
 
     Example:
         >>> is_full_name("Shop & Co"), is_full_name("a" + chr(10)), is_full_name(" a")
         (True, False, False)
     """
-    if not 0 < len(text) <= MAX_FULL_NAME_LENGTH or text != text.strip():
+    return len(text) <= MAX_FULL_NAME_LENGTH and is_header_value(text)
+
+
+def is_header_value(text: str) -> bool:
+    """Return whether a text arrives unchanged as the value of a header.
+
+    Example:
+        >>> is_header_value("n" * 5000), is_header_value("a "), is_header_value("")
+        (True, False, False)
+    """
+    if not text or text != text.strip():
         return False
     return not any(char < " " or char == "\x7f" for char in text)
--- a/src/rhubarbspan/systems/revisions.py
+++ b/src/rhubarbspan/systems/revisions.py
@@ -7,6 +7,7 @@
 from ..checking import check_document
 from ..configuration import Configuration
 from ..document import DATA_CENTRE_PREFIX, Change, Document, Snapshot, apply_changes
+from ..document_rules import OwnRules, TranslatedRules
 from ..effects import Effects, LogChange, LogLevel, SendPeerMessage
 from ..inputs import (
     ConfigurationReceived,
@@ -68,15 +69,24 @@
     if not _has_same_data_centres(state.snapshot.document, new_snapshot.document):
         known = None
     configuration, problems = check_document(
-        new_snapshot.document, new_snapshot.revision, known
+        new_snapshot.document, new_snapshot.revision, known, world.policies.documents
     )
-    if problems:
-        world.count("configuration_rejected")
-        text = problems[0].describe(f"revision {new_snapshot.revision}")
-        return [LogChange(LogLevel.WARNING, f"configuration rejected: {text}")]
+    place = f"revision {new_snapshot.revision}"
+    effects: Effects = []
+    match world.policies.documents:
+        case OwnRules() if problems:
+            world.count("configuration_rejected")
+            text = problems[0].describe(place)
+            return [LogChange(LogLevel.WARNING, f"configuration rejected: {text}")]
+        case TranslatedRules() if problems:
+            world.count("configuration_entries_changed")
+            text = f"{len(problems)} entries changed: {problems[0].describe(place)}"
+            effects.append(LogChange(LogLevel.WARNING, text))
+        case OwnRules() | TranslatedRules():
+            pass
     _put_in_force(world, now_s, new_snapshot, configuration, update)
-    text = f"configuration revision {new_snapshot.revision} in force"
-    return [LogChange(LogLevel.INFO, text)]
+    text = f"configuration {place} in force"
+    return [*effects, LogChange(LogLevel.INFO, text)]
 
 
 def _has_same_data_centres(old: Document, new: Document) -> bool:
