Let an entry of the configuration that can't be used cost only itself

Callers of all routes saw the version before stay in force, and 503 from instances that started, if one entry of the newest version could not be used: a field of another type or null, a split without weight, a service that only routes name, a key of two tenants.

Cause: the JSON was decoded as one value, and one exception refused all of it; check_document's problems did the same.

Change: where the whole can't be decoded, each entry is. A route whose prefix is readable stays and is served by nobody, so that its requests are refused at once as not run and not sent to a shorter prefix; a tenant keeps its keys and is served nowhere; services and limits fall back to their defaults.

--- a/src/rhubarbspan/platform/configuration.py
+++ b/src/rhubarbspan/platform/configuration.py
@@ -1,9 +1,11 @@
 """Translates the platform's JSON configuration into a configuration document."""
 
 import hashlib
+import math
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 import msgspec
 
@@ -11,12 +13,15 @@
 from ..record_checks import MAX_INTEGER
 from ..sections import FULL_NAME, is_header_value
 from ..verdict import Failure
-from .records import DECODE_ERRORS
+from .records import CONFIGURATION_KEY, DECODE_ERRORS
 
 # Rate and burst of a client account without a limit.
 UNLIMITED = "1000000"
 NAME_CHARACTERS = set("abcdefghijklmnopqrstuvwxyz0123456789-_.")
 MAX_NAME_LENGTH = 64
+# A service that no server can have, and a region that no server can be in. Requests
+# that go to them are refused as not run, and callers may repeat them.
+NO_SERVICE = ""
 ROUTE_KINDS = {
     "safe": "idempotent",
     "unsafe": "non_idempotent",
@@ -84,7 +89,44 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
+class _RawHost(msgspec.Struct):
+    host: str
+    paths: list[msgspec.Raw] = []
+
+
+class _RawConfiguration(msgspec.Struct):
+    """A configuration whose entries are decoded one by one."""
+
+    version: int
+    hosts: list[msgspec.Raw] = []
+    services: list[msgspec.Raw] = []
+    tenants: list[msgspec.Raw] | None = None
+    limits: msgspec.Raw = msgspec.Raw(b"{}")
+
+
+class _PathPrefix(msgspec.Struct):
+    prefix: str
+
+
+class _TenantKeys(msgspec.Struct):
+    name: str
+    apiKeys: list[str] = []
+
+
 _DECODER = msgspec.json.Decoder(_Configuration, strict=False)
+EntryType = TypeVar("EntryType", bound=msgspec.Struct)
+
+
+@dataclass(frozen=True, slots=True)
+class _Decoded:
+    """A decoded configuration.
+
+    Attributes:
+        refused: Reason for each part that cannot be used as it is.
+    """
+
+    configuration: _Configuration
+    refused: dict[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,15 +156,12 @@
     Returns:
         The document and its revision, or a failure with the decoder's message.
     """
-    try:
-        decoded = _DECODER.decode(value)
-        refused = _refuse_names(decoded)
-        document = _to_document(decoded, regions, max_age_s)
-    except (*DECODE_ERRORS, ArithmeticError) as error:
-        return Failure("malformed", f"configuration: {error}")
-    if not 0 < decoded.version <= MAX_INTEGER:
-        return Failure("malformed", f"version: accepted: 1 to {MAX_INTEGER}")
-    return TranslatedConfiguration(decoded.version, document, refused)
+    decoded = _decode(value)
+    if isinstance(decoded, Failure):
+        return decoded
+    configuration = decoded.configuration
+    document = _to_document(configuration, regions, max_age_s)
+    return TranslatedConfiguration(configuration.version, document, decoded.refused)
 
 
 def list_unused_parts(value: bytes) -> dict[str, str] | Failure:
@@ -131,10 +170,10 @@
     Args:
         value: JSON text of the operator's configuration.
     """
-    try:
-        decoded = _DECODER.decode(value)
-    except DECODE_ERRORS as error:
-        return Failure("malformed", f"configuration: {error}")
+    read = _decode(value)
+    if isinstance(read, Failure):
+        return read
+    decoded = read.configuration
     unused: dict[str, str] = {}
     for host in decoded.hosts:
         if not host.paths:
@@ -160,13 +199,143 @@
     return [name for name, n in Counter(names).items() if n > 1]
 
 
+def _decode(value: bytes) -> _Decoded | Failure:
+    """Decode a configuration, one by one if an entry cannot be read with the others."""
+    try:
+        decoded = _Decoded(_DECODER.decode(value))
+    except DECODE_ERRORS:
+        reasons: dict[str, str] = {}
+        text = msgspec.Raw(value)
+        raw = _decode_entry(text, _RawConfiguration, CONFIGURATION_KEY, reasons)
+        if raw is None:
+            return Failure("malformed", f"configuration: {reasons[CONFIGURATION_KEY]}")
+        decoded = _decode_entries(raw)
+    if not 0 < decoded.configuration.version <= MAX_INTEGER:
+        return Failure("malformed", f"version: accepted: 1 to {MAX_INTEGER}")
+    _refuse_unusable(decoded)
+    return decoded
+
+
+def _decode_entries(raw: _RawConfiguration) -> _Decoded:
+    """Decode each entry of a configuration, and keep what is known of the others."""
+    decoded = _Decoded(_Configuration(raw.version))
+    configuration, refused = decoded.configuration, decoded.refused
+    for number, text in enumerate(raw.hosts):
+        host = _decode_entry(text, _RawHost, f"host {number}", refused)
+        if host is not None:
+            paths = _decode_paths(host, refused)
+            configuration.hosts.append(_Host(host.host, paths))
+    for number, text in enumerate(raw.services):
+        service = _decode_entry(text, _Service, f"service {number}", refused)
+        if service is not None:
+            configuration.services.append(service)
+    if raw.tenants is not None:
+        configuration.tenants = _decode_tenants(raw.tenants, refused)
+    configuration.limits = _decode_limits(raw.limits, refused)
+    return decoded
+
+
+def _decode_entry(
+    text: msgspec.Raw, kind: type[EntryType], place: str, refused: dict[str, str]
+) -> EntryType | None:
+    """Decode an entry, in which null stands for a field that is left out."""
+    try:
+        fields = msgspec.json.decode(text, type=dict[str, msgspec.Raw])
+        given = {name: raw for name, raw in fields.items() if bytes(raw) != b"null"}
+        return msgspec.json.decode(msgspec.json.encode(given), type=kind, strict=False)
+    except DECODE_ERRORS as error:
+        refused[place] = str(error)
+        return None
+
+
+def _decode_paths(host: _RawHost, refused: dict[str, str]) -> list[_Path]:
+    paths: list[_Path] = []
+    for number, text in enumerate(host.paths):
+        place = f"host {host.host} path {number}"
+        path = _decode_entry(text, _Path, place, refused)
+        if path is None:
+            known = _decode_entry(text, _PathPrefix, f"{place} prefix", refused)
+            if known is None:
+                continue
+            path = _Path(known.prefix, allowAnonymous=True)
+        paths.append(path)
+    return paths
+
+
+def _decode_tenants(texts: list[msgspec.Raw], refused: dict[str, str]) -> list[_Tenant]:
+    tenants: list[_Tenant] = []
+    for number, text in enumerate(texts):
+        place = f"tenant {number}"
+        tenant = _decode_entry(text, _Tenant, place, refused)
+        if tenant is None:
+            known = _decode_entry(text, _TenantKeys, f"{place} keys", refused)
+            if known is None:
+                continue
+            tenant = _unserved_tenant(known.name, known.apiKeys)
+        tenants.append(tenant)
+    return tenants
+
+
+def _unserved_tenant(name: str, api_keys: list[str]) -> _Tenant:
+    """Return a tenant of unknown limit or regions, whose keys are not wrong."""
+    return _Tenant(name, api_keys, allowedRegions=[NO_SERVICE])
+
+
+def _decode_limits(text: msgspec.Raw, refused: dict[str, str]) -> _Limits:
+    limits = _decode_entry(text, _Limits, "limits", refused)
+    if limits is not None:
+        return limits
+    limits = _Limits()
+    try:
+        fields = msgspec.json.decode(text, type=dict[str, msgspec.Raw])
+    except DECODE_ERRORS:
+        return limits
+    for name, raw in fields.items():
+        entry = msgspec.Raw(msgspec.json.encode({name: raw}))
+        known = _decode_entry(entry, _Limits, f"limits {name}", refused)
+        if known is not None and name in _Limits.__struct_fields__:
+            setattr(limits, name, getattr(known, name))
+    return limits
+
+
+def _refuse_unusable(decoded: _Decoded) -> None:
+    """Note entries that cannot be used, and change them so that only they are refused.
+
+    Requests with the keys of a tenant without a usable name are refused.
+    """
+    configuration, refused = decoded.configuration, decoded.refused
+    for service in list(configuration.services):
+        if not service.name:
+            configuration.services.remove(service)
+            refused["service"] = "no server can have a service without a name"
+    tenants = configuration.tenants or []
+    for tenant in list(tenants):
+        if not is_header_value(tenant.name):
+            tenants.remove(tenant)
+            reason = "left out, since the name cannot be the value of a header"
+            refused[f"tenant {tenant.name}"] = reason
+        elif not (math.isfinite(tenant.ratePerS) and math.isfinite(tenant.burst)):
+            position = tenants.index(tenant)
+            tenants[position] = _unserved_tenant(tenant.name, tenant.apiKeys)
+            refused[f"tenant {tenant.name}"] = "its limit is not a number"
+    for host in configuration.hosts:
+        for path in host.paths:
+            is_usable = all(0 <= part.weight <= MAX_INTEGER for part in path.split)
+            is_usable &= not path.split or any(part.weight > 0 for part in path.split)
+            if is_usable and (path.split or path.service):
+                continue
+            path.split, path.service = [], NO_SERVICE
+            place = f"host {host.host} prefix {path.prefix}"
+            refused[place] = "its requests are refused, as no service is named for them"
+
+
 def _to_document(
     decoded: _Configuration, regions: dict[str, str], max_age_s: float
 ) -> Document:
     document: Document = {}
     for zone, region in regions.items():
         _add(document, "data_centre", zone, {"region": region, "seats": "0"})
-    for service in decoded.services:
+    for service in _list_services(decoded):
         _add(document, "pool", service.name, _translate_service(service))
     for tenant in decoded.tenants or []:
         _add(document, "client_account", tenant.name, _translate_tenant(tenant))
@@ -179,22 +348,17 @@
     return document
 
 
-def _refuse_names(decoded: _Configuration) -> dict[str, str]:
-    """Remove the tenants whose names cannot be told to servers, and say what is unfit.
-
-    Requests with their keys are refused; the others are served.
-    """
-    refused = {
-        f"service {service.name}": "no server can have a service of this name"
-        for service in decoded.services
-        if not service.name
-    }
-    for tenant in list(decoded.tenants or []):
-        if decoded.tenants and not is_header_value(tenant.name):
-            decoded.tenants.remove(tenant)
-            reason = "left out, since the name cannot be the value of a header"
-            refused[f"tenant {tenant.name}"] = reason
-    return refused
+def _list_services(decoded: _Configuration) -> list[_Service]:
+    """List the services, also those that only a path names."""
+    named = {service.name for service in decoded.services}
+    services = list(decoded.services)
+    for host in decoded.hosts:
+        for path in host.paths:
+            for name in [part.service for part in path.split] or [path.service]:
+                if name not in named:
+                    named.add(name)
+                    services.append(_Service(name))
+    return services
 
 
 def _add(document: Document, kind: str, name: str, section: Section) -> None:
@@ -236,6 +400,11 @@
     return section
 
 
+def _join_regions(regions: list[str]) -> str:
+    """Join regions; one without a name is none that exists, and not left out."""
+    return ", ".join(region or _valid_name(NO_SERVICE) for region in regions)
+
+
 def _translate_tenant(tenant: _Tenant) -> Section:
     hashes = (hashlib.sha256(key.encode()).hexdigest() for key in tenant.apiKeys)
     has_limit = tenant.ratePerS > 0
@@ -244,7 +413,7 @@
         "burst": str(max(1, int(tenant.burst))) if has_limit else UNLIMITED,
         "key_hashes": ", ".join(hashes),
         "priority": str(-1 if tenant.priority is None else tenant.priority),
-        "regions": ", ".join(tenant.allowedRegions),
+        "regions": _join_regions(tenant.allowedRegions),
     }
 
 
@@ -262,7 +431,7 @@
         "latency_objective_s": str(path.targetLatencyS),
         "attempts": str(path.attempts),
         "priority": str(path.priority),
-        "regions": ", ".join(path.allowedRegions),
+        "regions": _join_regions(path.allowedRegions),
         "affinity": _yes_or_no(path.sessionAffinity),
         "pool": parts[0][0] if parts else _valid_name(path.service),
     }
--- a/tests/test_accepted_configurations.py
+++ b/tests/test_accepted_configurations.py
@@ -179,3 +179,147 @@
     deployed.run(asyncio.sleep(1.0))
     for target in ("/look/1", "/-/health/1", "/fresh/1"):
         assert deployed.send(target).status == 200
+
+
+ODD_PATHS = [
+    {**path_rule("x"), "timeoutS": "soon"},
+    {**path_rule("x"), "split": [{"service": "shop"}]},
+    {**path_rule("x"), "split": [{"service": "shop", "weight": -1}]},
+    {**path_rule("x"), "split": [{"service": "shop", "weight": 0}]},
+    {**path_rule("x"), "service": ["shop"]},
+    {**path_rule("x"), "service": ""},
+    {**path_rule("x"), "allowedRegions": "a"},
+    {**path_rule("x"), "allowAnonymous": "perhaps"},
+    {**path_rule("x"), "attempts": 1.5},
+]
+
+
+# CONFIG: one entry that could not be used kept all others from being applied.
+@pytest.mark.parametrize("path", ODD_PATHS)
+def test_route_that_cannot_be_read_costs_only_itself(path: Fields) -> None:
+    configuration, problems, refused = apply(json.dumps(document(path)).encode())
+    assert problems == []
+    assert refused
+    assert configuration.routes["beside"].pool == "shop"
+    # Its requests are refused as not run, and not sent to a shorter prefix.
+    (odd,) = (r for r in configuration.routes.values() if r.path_prefix == "/x/")
+    assert odd.pool in configuration.pools
+    assert odd.pool not in ("shop", "other", "")
+    assert not odd.parts
+
+
+@pytest.mark.parametrize(
+    "odd", [None, 7, [], {}, {"prefix": 5}, {"prefix": None, "service": "shop"}]
+)
+def test_route_without_a_prefix_is_left_out_alone(odd: object) -> None:
+    hosts = [{"host": HOST, "paths": [odd, path_rule("beside")]}, {"host": 5}, None]
+    value = json.dumps(configuration_document(6, hosts=hosts)).encode()
+    configuration, _, refused = apply(value)
+    assert set(configuration.routes) == {"beside"}
+    assert len(refused) >= 3
+
+
+@pytest.mark.parametrize("prefix", ["", "x/", "*"])
+def test_prefix_that_begins_no_path_is_left_out_alone(prefix: str) -> None:
+    value = json.dumps(document(path_rule("x", prefix=prefix))).encode()
+    configuration, problems, _ = apply(value)
+    assert set(configuration.routes) == {"beside"}
+    assert [problem.key for problem in problems] == ["path_prefix"]
+
+
+def test_field_that_is_null_counts_as_left_out() -> None:
+    path = path_rule("x", split=None, priority=None, allowedRegions=None)
+    value = json.dumps(
+        document(path, tenants=tenant(ratePerS=None), limits=None)
+    ).encode()
+    configuration, problems, refused = apply(value)
+    assert (problems, refused) == ([], {})
+    assert (configuration.routes["x"].pool, configuration.routes["x"].regions) == (
+        "shop",
+        (),
+    )
+    assert configuration.client_accounts["ana"].rate_per_s == 1e6
+
+
+@pytest.mark.parametrize(
+    "changes", [{"ratePerS": "few"}, {"burst": []}, {"allowedRegions": 5}]
+)
+def test_tenant_that_cannot_be_read_keeps_its_keys_and_is_not_served(
+    changes: Fields,
+) -> None:
+    value = json.dumps(document(path_rule("x"), tenants=tenant(**changes))).encode()
+    configuration, problems, refused = apply(value)
+    assert problems == []
+    assert list(refused) == ["tenant 0"]
+    assert set(configuration.account_by_key_hash.values()) == {"ana", "beside"}
+    assert not set(configuration.client_accounts["ana"].regions) & set(REGIONS.values())
+    assert configuration.client_accounts["ana"].regions
+    assert configuration.client_accounts["beside"].regions == ()
+
+
+def test_other_entries_that_cannot_be_read_cost_only_themselves() -> None:
+    services: list[object] = [5, {"name": "shop", "coldPerS": "x"}, {"name": "other"}]
+    odd_limits = limits(headerBytes="many", bodyBytes=5)
+    value = json.dumps(
+        document(path_rule("x"), services=services, limits=odd_limits)
+    ).encode()
+    configuration, problems, refused = apply(value)
+    assert problems == []
+    assert set(refused) == {"service 0", "service 1", "limits", "limits headerBytes"}
+    assert set(configuration.pools) == {"shop", "other"}
+    assert configuration.caller_limits.n_body_bytes == 5
+    assert configuration.caller_limits.idle_timeout_s == 9.0
+    assert configuration.caller_limits.n_head_bytes == 16_384
+
+
+def test_service_that_only_a_route_names_is_served() -> None:
+    split = [{"service": "new", "weight": 1}, {"service": "shop", "weight": 3}]
+    path = path_rule("x", split=split)
+    configuration, problems, refused = apply(json.dumps(document(path)).encode())
+    assert (problems, refused) == ([], {})
+    assert configuration.routes["x"].parts == (("new", 1.0), ("shop", 3.0))
+    assert "new" in configuration.pools
+
+
+def test_key_of_two_tenants_costs_neither_of_them_the_others() -> None:
+    tenants = [
+        {"name": "ana", "apiKeys": ["k", "k1"]},
+        {"name": "bo", "apiKeys": ["k", "k2"]},
+    ]
+    value = json.dumps(document(path_rule("x"), tenants=tenants)).encode()
+    configuration, problems, _ = apply(value)
+    assert [problem.key for problem in problems] == ["key_hashes"]
+    names = configuration.account_by_key_hash.values()
+    assert sorted(names) == ["ana", "ana", "bo"]
+
+
+# An instance that started after such a version served nothing at all.
+def test_odd_entries_are_refused_as_not_run_and_others_served(
+    deployed: PlatformSite,
+) -> None:
+    paths = [
+        path_rule("look"),
+        path_rule("keyed", allowAnonymous=False),
+        path_rule("odd", timeoutS="soon"),
+        path_rule("odd/fine"),
+    ]
+    hosts: list[object] = [{"host": HOST, "paths": paths}, 5]
+    odd_tenants = tenant(burst=[])
+    deployed.store.put(
+        "op/config", configuration_document(6, hosts=hosts, tenants=odd_tenants)
+    )
+    deployed.run(asyncio.sleep(PROPAGATION_S))
+    stopped = deployed.instances.pop()
+    deployed.run(stopped.close())
+    deployed.run(deployed.add_instance("front-a-2"))
+    deployed.wait_for(deployed.deployment.is_ready, "the instance is ready")
+    deployed.run(asyncio.sleep(1.0))
+    loop = deployed.loop
+    expected = {"/look/1": 200, "/odd/1": 503, "/odd/fine/1": 200, "/none/1": 404}
+    begun_s = loop.time()
+    for target, status in expected.items():
+        assert deployed.send(target).status == status, target
+    for key, status in {"k2": 200, "k": 503, "unknown": 401}.items():
+        assert deployed.send("/keyed/1", X_Credential=key).status == status, key
+    # What cannot be served is refused at once.
+    assert loop.time() - begun_s < 1.0
