Pass heartbeats on to instances that miss their author, so that limits hold

Where both reached the store, callers at the end that asked later got 0.2 to 1.1 requests a second of 20.

Cause: an instance that a third heard kept its part; the one at the other end of the lost link saw its record lapse and took the part over. Nobody told it what the third knew. Without each other's confirmation neither could grow.

Change: heartbeats and summaries tell whom their author misses. Whoever hears both ends passes on what each tells, so that they count and confirm each other as before.

Ruled out: the lease and the retention of 7 s; both behaved as written.

--- a/src/rhubarbspan/peer_messages.py
+++ b/src/rhubarbspan/peer_messages.py
@@ -112,6 +112,11 @@
             versions ignore entries with the last, and do not send the field.
         in_flight: Requests of the sender at backend servers, or None if it does not
             tell. Earlier versions do not send it.
+        missed: Instances that the sender knows and does not hear.
+        lapsed: Silent instances that are not on the platform's list, as it knows it.
+        echoes: Incarnation and sequence number of the newest heartbeat that the sender
+            has, on whatever way, of each instance that it misses or that misses it.
+        read_age_s: Time since the sender's data centre is known to have read the store.
     """
 
     seat: str
@@ -139,6 +144,23 @@
     presence_digest: int = 0
     server_loads: dict[int, list[float]] = field(default_factory=dict)
     in_flight: InFlight | None = None
+    missed: list[str] = field(default_factory=list)
+    lapsed: list[str] = field(default_factory=list)
+    echoes: dict[str, list[int]] = field(default_factory=dict)
+    read_age_s: float = 1e6
+
+
+@dataclass(slots=True)
+class RelayedHeartbeat:
+    """A heartbeat that the sender passes on to an instance which misses its author.
+
+    Attributes:
+        heartbeat: The heartbeat, without what only those need that hear its author.
+    """
+
+    seat: str
+    incarnation: int
+    heartbeat: Heartbeat
 
 
 @dataclass(slots=True)
@@ -403,6 +425,8 @@
         unheard: Data centres of which the sender has no recent figures.
         in_flight: Requests of the data centre's instances at backend servers, or None
             if the sender does not tell. Earlier versions do not send it.
+        missed: Data centres whose summaries the sender's does not get from themselves.
+        is_relayed: Whether it came by way of a third data centre.
     """
 
     seat: str
@@ -419,6 +443,8 @@
     responses: dict[str, list[int]] = field(default_factory=dict)
     unheard: list[str] = field(default_factory=list)
     in_flight: InFlight | None = None
+    missed: list[str] = field(default_factory=list)
+    is_relayed: bool = False
 
 
 @dataclass(slots=True)
@@ -508,4 +534,5 @@
     | DataCentreSummary
     | StoreUpdate
     | ServerHandover
+    | RelayedHeartbeat
 )
--- a/src/rhubarbspan/systems/confirmations.py
+++ b/src/rhubarbspan/systems/confirmations.py
@@ -18,7 +18,6 @@
 from ..world import World
 from .bucketing import smoothed_demand_per_s
 from .fleet_layout import is_two_level, local_peers
-from .revisions import config_age_s
 
 # The demand of a silent peer counts for this long, longer than any lease lasts.
 DEMAND_RETENTION_S = 7.0
@@ -51,7 +50,7 @@
         return True
     if row.is_leaving:
         return False
-    return row.is_listed or now_s - row.last_heard_s < DEMAND_RETENTION_S
+    return row.is_listed or now_s - row.evidence_s() < DEMAND_RETENTION_S
 
 
 def exchanges_heartbeats(world: World, row: PeerRow) -> bool:
@@ -60,10 +59,18 @@
     return is_local or not (is_two_level(world) or row.is_two_level)
 
 
+def hears_this_one(world: World, row: PeerRow, now_s: float) -> bool:
+    """Return whether a peer has lately heard this instance without a third."""
+    return now_s - row.confirmed_s < _confirmation_s(world)
+
+
 def is_confirmed(world: World, row: PeerRow, now_s: float) -> bool:
-    """Return whether a peer has lately confirmed a heartbeat of this instance."""
-    age_s = now_s - row.confirmed_s
-    return age_s < CONFIRMATION_FRACTION * world.policies.dead_after_s
+    """Return whether a peer is known to have a recent heartbeat of this instance."""
+    return now_s - row.any_confirmed_s() < _confirmation_s(world)
+
+
+def _confirmation_s(world: World) -> float:
+    return CONFIRMATION_FRACTION * world.policies.dead_after_s
 
 
 def is_summary_confirmed(summary: DataCentreRow, now_s: float) -> bool:
@@ -74,22 +81,28 @@
 def is_cut_off(world: World, now_s: float, counted: list[PeerRow]) -> bool:
     """Return whether others may have taken over the own part of the limits.
 
-    They do so once the platform's list lacks this instance and they have not heard it
-    for ``DEMAND_RETENTION_S``; this side ends earlier, by its own clock. If the store
-    answers, or a peer that reached it, the list is known to be kept up.
+    They do so once the platform's list lacks this instance, and for
+    ``DEMAND_RETENTION_S`` they have neither heard it nor been told by a third that
+    hears it; this side ends earlier, by its own clock. While the own data centre reads
+    the store, its records are kept up. While it does not, each other data centre has to
+    confirm: one that does not may read the list, whatever the rest confirm.
     """
-    if not counted or config_age_s(world, now_s) < OWN_PART_RETENTION_S:
+    if not counted or now_s - world.configuration_state.read_s < OWN_PART_RETENTION_S:
         return False
     own_data_centre = world.identity.data_centre
-    others = [row for row in counted if row.data_centre != own_data_centre] or counted
-    for row in others:
-        summary = world.data_centres.rows.get(row.data_centre)
-        if exchanges_heartbeats(world, row):
-            if is_confirmed(world, row, now_s):
-                return False
-        elif summary is not None and is_summary_confirmed(summary, now_s):
-            return False
-    return True
+    others = {row.data_centre for row in counted} - {own_data_centre}
+    confirming = {
+        row.data_centre for row in counted if _is_part_confirmed(world, row, now_s)
+    }
+    return bool(others - confirming) if others else not confirming
+
+
+def _is_part_confirmed(world: World, row: PeerRow, now_s: float) -> bool:
+    """Return whether a peer, or its data centre, counts what this instance claims."""
+    if exchanges_heartbeats(world, row):
+        return is_confirmed(world, row, now_s)
+    summary = world.data_centres.rows.get(row.data_centre)
+    return summary is not None and is_summary_confirmed(summary, now_s)
 
 
 def present_peers(world: World, now_s: float) -> list[PeerRow]:
@@ -100,7 +113,7 @@
         for row in local_peers(world)
         if row.is_alive
         and now_s - row.last_heard_s < silence_s
-        and is_confirmed(world, row, now_s)
+        and hears_this_one(world, row, now_s)
     ]
 
 
@@ -138,11 +151,12 @@
 def unheard_data_centres(world: World, now_s: float) -> list[str]:
     """List the data centres of which the figures known here are old.
 
-    One that was never heard is not among them, as no figure of it is in use here.
+    One that was never heard is not among them, as no figure of it is in use here. One
+    that is not listed may have been heard, and has to know that it is not any more.
     """
     newest_s: dict[str, float] = {}
     for row in world.peers.rows():
-        if row.data_centre == world.identity.data_centre or not row.is_listed:
+        if row.data_centre == world.identity.data_centre or row.is_leaving:
             continue
         summary = world.data_centres.rows.get(row.data_centre)
         known_s = max(row.demands_s, summary.as_of_s if summary else row.demands_s)
@@ -190,7 +204,7 @@
     rows = local_peers(world) if is_two_level(world) else world.peers.rows()
     # One that was never heard does not know any figure of this instance.
     since_s = [
-        row.confirmed_s
+        row.any_confirmed_s()
         for row in rows
         if row.incarnation
         and not is_confirmed(world, row, now_s)
--- a/src/rhubarbspan/systems/demand_fractions.py
+++ b/src/rhubarbspan/systems/demand_fractions.py
@@ -179,7 +179,7 @@
         demands = row.demands if _is_demand_retained(world, now_s, row) else None
         if row.data_centre != own_data_centre:
             sources.data_centres[row.data_centre] = 0.0
-            if row.last_heard_s < 0:
+            if row.evidence_s() < 0:
                 sources.unheard.add(row.data_centre)
             if demands:
                 sources.remote.append((row.data_centre, demands))
--- a/src/rhubarbspan/systems/membership.py
+++ b/src/rhubarbspan/systems/membership.py
@@ -33,6 +33,13 @@
 from .load_counts import apply_peer_counts, count_own
 from .load_reports import apply_loads, take_loads
 from .object_sharing import apply_responses, apply_uses, take_responses, take_uses
+from .relaying import (
+    apply_lapsed,
+    apply_told_ways,
+    echoes_to_pass_on,
+    lapsed_seats,
+    missed_seats,
+)
 from .revisions import config_age_s
 from .slots import n_free_slots, n_usable_slots, owned_servers
 from .store_eras import is_restored_lately
@@ -134,6 +141,7 @@
     if is_new_incarnation:
         row.started_s = now_s - heartbeat.uptime_s
         row.acknowledged_sequence = 0
+        row.relayed_sequence = 0
     is_starting = (
         heartbeat.echoed_incarnation == 0 and heartbeat.uptime_s < FIRST_CONFIRMATION_S
     )
@@ -158,7 +166,10 @@
     row.address = heartbeat.address or row.address
     row.peer_address = heartbeat.peer_address or row.peer_address
     row.loads = {load.pool: load for load in heartbeat.loads}
-    if is_local or not heartbeat.is_two_level:
+    apply_told_ways(world, row, heartbeat)
+    apply_lapsed(world, now_s, heartbeat)
+    is_newest = heartbeat.sequence >= row.relayed_sequence
+    if is_newest and (is_local or not heartbeat.is_two_level):
         # Relays leave the demand out of the heartbeats that they exchange.
         world.peers.set_demands(row, now_s, heartbeat.demands)
     apply_uses(world, now_s, heartbeat.handled, is_local)
@@ -209,7 +220,7 @@
         return []
     effects: Effects = []
     for row in world.peers.rows():
-        known_s = max(row.last_heard_s, row.unlisted_s)
+        known_s = max(row.evidence_s(), row.unlisted_s)
         if row.is_listed or row.is_alive or now_s - known_s <= PEER_RETENTION_S:
             continue
         world.peers.remove(row.seat)
@@ -223,6 +234,8 @@
     world.heartbeat_sequence += 1
     advertise_demands(world, now_s)
     own = world.identity
+    missed = missed_seats(world)
+    read_s = world.configuration_state.read_s
     heartbeat = Heartbeat(
         seat=own.seat,
         incarnation=own.incarnation,
@@ -249,6 +262,10 @@
         presence_digest=presence_digest(world, present_peers(world, now_s)),
         server_loads=take_loads(world, now_s),
         in_flight=count_own(world),
+        missed=missed,
+        lapsed=lapsed_seats(world),
+        echoes=echoes_to_pass_on(world, missed),
+        read_age_s=min(now_s - read_s, MAX_CONFIG_AGE_S),
     )
     world.heartbeats_sent_s[world.heartbeat_sequence] = now_s
     world.heartbeats_sent_s.pop(world.heartbeat_sequence - N_HEARTBEATS_KEPT, None)
--- a/src/rhubarbspan/systems/revisions.py
+++ b/src/rhubarbspan/systems/revisions.py
@@ -148,6 +148,7 @@
     state = world.configuration_state
     state.older_revision = 0
     confirmed_s = now_s if read_s is None else read_s
+    state.read_s = max(state.read_s, confirmed_s)
     if shows_newest(world, confirmed_s, is_just_written):
         state.confirmed_s = max(state.confirmed_s, confirmed_s)
 
@@ -187,11 +188,15 @@
 
 def _compare_revisions(world: World, now_s: float, heartbeat: Heartbeat) -> Effects:
     state = world.configuration_state
-    if heartbeat.revision == state.snapshot.revision:
-        confirmed_s = _confirmed_by_peer_s(world, heartbeat)
-        if confirmed_s is not None:
-            # No message of a peer tells of the time to come.
-            state.confirmed_s = max(state.confirmed_s, min(confirmed_s, now_s))
+    made_s = _made_after_s(world, heartbeat)
+    if made_s is not None:
+        # No message of a peer tells of the time to come.
+        read_s = min(made_s - heartbeat.read_age_s, now_s)
+        confirmed_s = min(made_s - heartbeat.config_age_s, now_s)
+        if heartbeat.data_centre == world.identity.data_centre:
+            state.read_s = max(state.read_s, read_s)
+        if heartbeat.revision == state.snapshot.revision:
+            state.confirmed_s = max(state.confirmed_s, confirmed_s)
     if heartbeat.revision <= state.snapshot.revision:
         return []
     if now_s - state.requested_s < REQUEST_INTERVAL_S:
@@ -202,8 +207,8 @@
     return [SendPeerMessage(heartbeat.seat, request)]
 
 
-def _confirmed_by_peer_s(world: World, heartbeat: Heartbeat) -> float | None:
-    """Return the time at which a peer's revision is known to have been the newest.
+def _made_after_s(world: World, heartbeat: Heartbeat) -> float | None:
+    """Return a time after which a peer is known to have made a heartbeat.
 
     The time of receipt says nothing of a heartbeat's age: it may have been delayed by
     the network or by a paused machine. The heartbeat was made after this instance's
@@ -215,7 +220,7 @@
     sent_s = world.heartbeats_sent_s.get(heartbeat.echoed_sequence)
     if sent_s is None:
         return None
-    return sent_s + heartbeat.echo_age_s - heartbeat.config_age_s
+    return sent_s + heartbeat.echo_age_s
 
 
 def _deliver_configuration(world: World, request: ConfigurationRequest) -> Effects:
--- a/src/rhubarbspan/systems/summaries.py
+++ b/src/rhubarbspan/systems/summaries.py
@@ -22,6 +22,7 @@
 from .load_counts import apply_summary_counts, count_data_centre
 from .membership import is_outdated
 from .object_sharing import apply_responses, apply_uses, take_responses, take_uses
+from .relaying import missed_data_centres, relay_summary
 
 # Summaries between two complete ones.
 N_SUMMARIES_PER_COMPLETE_ONE = 5
@@ -83,6 +84,7 @@
         responses=responses if local_rank(world) == 0 else {},
         unheard=unheard_data_centres(world, now_s),
         in_flight=count_data_centre(world),
+        missed=missed_data_centres(world, now_s),
     )
     return [SendPeerMessage(row.seat, summary) for row in counterpart_relays(world)]
 
@@ -122,8 +124,14 @@
     if summary.data_centre == own.data_centre:
         return []
     as_of_s = now_s - max(0.0, summary.age_s)
-    effects = _update_members(world, as_of_s, summary)
     row = world.data_centres.get_or_create(summary.data_centre)
+    effects: Effects = []
+    if summary.is_relayed:
+        _note_members(world, as_of_s, summary)
+    else:
+        effects += _update_members(world, as_of_s, summary)
+        row.direct_s = max(row.direct_s, as_of_s)
+        row.missed = frozenset(summary.missed)
     if summary.is_complete and as_of_s >= row.as_of_s:
         row.demands = {}
     row.demands.update(summary.demands)
@@ -133,8 +141,11 @@
     apply_uses(world, now_s, summary.handled, is_local=False)
     apply_responses(world, summary.responses, is_local=False)
     if summary.is_passed_on:
-        row.passed_on_s = now_s
+        if not summary.is_relayed:
+            row.passed_on_s = now_s
         return effects
+    if not summary.is_relayed:
+        effects += relay_summary(world, summary)
     if now_s - row.passed_on_s < PASSED_ON_S and local_rank(world) > 0:
         # The first relay passes them on; this one does when the first does not.
         return effects
@@ -146,21 +157,43 @@
     ]
 
 
+def _list_members(summary: DataCentreSummary) -> list[MemberState]:
+    """List the instances that a summary describes, its sender first."""
+    sender = MemberState(
+        summary.seat, summary.incarnation, summary.uptime_s, 0.0, summary.revision
+    )
+    return [sender, *summary.members]
+
+
+def _get_or_create_member(world: World, data_centre: str, seat: str) -> PeerRow:
+    row = world.peers.get(seat)
+    if row is None:
+        region = world.configuration.region_of(data_centre)
+        row = PeerRow(seat, data_centre, region)
+        world.peers.add(row)
+    return row
+
+
+def _note_members(world: World, as_of_s: float, summary: DataCentreSummary) -> None:
+    """Record that a third data centre hears those of one that is silent here.
+
+    They refill their part, but cannot be asked for anything from here.
+    """
+    for member in _list_members(summary):
+        row = _get_or_create_member(world, summary.data_centre, member.seat)
+        row.is_leaving = member.is_leaving
+        heard_s = as_of_s - max(0.0, member.silent_s)
+        row.relayed_s = max(row.relayed_s, heard_s)
+
+
 def _update_members(
     world: World, as_of_s: float, summary: DataCentreSummary
 ) -> Effects:
     """Update the rows of a data centre's instances, which send no heartbeats here."""
     effects: Effects = []
-    sender = MemberState(
-        summary.seat, summary.incarnation, summary.uptime_s, 0.0, summary.revision
-    )
-    members = [sender, *summary.members]
+    members = _list_members(summary)
     for member in members:
-        row = world.peers.get(member.seat)
-        if row is None:
-            region = world.configuration.region_of(summary.data_centre)
-            row = PeerRow(member.seat, summary.data_centre, region)
-            world.peers.add(row)
+        row = _get_or_create_member(world, summary.data_centre, member.seat)
         if is_outdated(row, member.incarnation):
             continue
         if member.incarnation != row.incarnation:
--- a/src/rhubarbspan/tables/data_centres.py
+++ b/src/rhubarbspan/tables/data_centres.py
@@ -17,6 +17,8 @@
         passed_on_s: When another instance of the own data centre passed on a summary.
         in_flight: Requests of its instances at backend servers, or None if not told.
         in_flight_s: When the summary that told them was made.
+        direct_s: As ``as_of_s``, of summaries that no third data centre has passed on.
+        missed: Data centres of which it gets no summaries from themselves.
     """
 
     name: str
@@ -27,6 +29,8 @@
     unheard_s: float = -1e9
     in_flight: InFlight | None = None
     in_flight_s: float = -1e9
+    direct_s: float = -1e9
+    missed: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True)
--- a/src/rhubarbspan/tables/peers.py
+++ b/src/rhubarbspan/tables/peers.py
@@ -37,6 +37,10 @@
         asked_for_tokens_s: When tokens were last requested of it as the holder of
             another data centre's parts of limits.
         in_flight: Its requests at backend servers that it reported, or None.
+        missed: Instances that it does not hear, as it told last.
+        relayed_s: When a third instance last passed on a newer heartbeat of it.
+        relayed_sequence: Sequence number of that heartbeat.
+        relayed_confirmed_s: As ``confirmed_s``, by echoes on any way.
     """
 
     seat: str
@@ -68,6 +72,22 @@
     presence_digest: int = 0
     asked_for_tokens_s: float = -1e9
     in_flight: InFlight | None = None
+    missed: frozenset[str] = frozenset()
+    relayed_s: float = -1e9
+    relayed_sequence: int = 0
+    relayed_confirmed_s: float = -1e9
+
+    def evidence_s(self) -> float:
+        """Return when this instance was last heard, directly or through a third."""
+        return max(self.last_heard_s, self.relayed_s)
+
+    def newest_sequence(self) -> int:
+        """Return the sequence number of the newest heartbeat on any way."""
+        return max(self.sequence, self.relayed_sequence)
+
+    def any_confirmed_s(self) -> float:
+        """Return when the newest own heartbeat was sent that it has, by any echo."""
+        return max(self.confirmed_s, self.relayed_confirmed_s)
 
 
 class Peers:
--- a/src/rhubarbspan/tick.py
+++ b/src/rhubarbspan/tick.py
@@ -18,6 +18,7 @@
 from .systems.outcomes import handle_ended_attempts
 from .systems.peer_links import renew_peer_links
 from .systems.quarantine import update_suspects
+from .systems.relaying import relay_heartbeats
 from .systems.revisions import apply_revisions
 from .systems.server_handover import hand_over_servers
 from .systems.steering import steer
@@ -32,6 +33,7 @@
     track_store_era,
     apply_revisions,
     track_peers,
+    relay_heartbeats,
     exchange_summaries,
     renew_peer_links,
     share_store_reads,
--- a/src/rhubarbspan/world.py
+++ b/src/rhubarbspan/world.py
@@ -60,6 +60,7 @@
         changes: Recent changes, oldest first, kept to be sent to peers.
         in_force_s: When the document came into force.
         confirmed_s: Latest time at which the store is known to have held nothing newer.
+        read_s: The same, as far as this data centre has read the store itself.
         requested_s: When configuration was last requested from a peer.
         older_revision: Revision older than the one in force that a restored store
             holds, 0 if it holds none.
@@ -69,6 +70,7 @@
     changes: list[Change] = field(default_factory=list)
     in_force_s: float = 0.0
     confirmed_s: float = -1e9
+    read_s: float = -1e9
     requested_s: float = -1e9
     older_revision: int = 0
 
--- a/tests/timed_fleet.py
+++ b/tests/timed_fleet.py
@@ -38,6 +38,7 @@
 OTHER_REGION_DELAY_S = 0.02
 LOCAL_DELAY_S = 0.0003
 CONFIRMATION_S = 1.0
+LEASE_S = 6.0
 OBJECTIVE_S = 0.5
 TIMEOUT_S = 1.2
 # Requests that a caller sends on one connection, on average.
@@ -146,8 +147,11 @@
     Attributes:
         silent: Ways, each from one instance to another, on which messages are lost.
         cut: Instances that reach neither the other instances nor the store.
+        storeless: Instances that don't reach the store. Their records are removed once
+            their leases are over, and they keep the list that they have read last.
         paused: Instances that do nothing until they resume.
         loss: Probability that a message between data centres is lost.
+        n_sent: Requests, by instance and account.
         n_messages: Messages that were sent, by type and whether between data centres.
         token_links: Pairs of instances of different data centres, of which the first
             sent the second a message about tokens.
@@ -162,8 +166,10 @@
     now_s: float = 0.0
     silent: set[tuple[str, str]] = field(default_factory=set)
     cut: set[str] = field(default_factory=set)
+    storeless: set[str] = field(default_factory=set)
     paused: dict[str, list[Input]] = field(default_factory=dict)
     loss: float = 0.0
+    n_sent: Counter[tuple[str, str]] = field(default_factory=Counter)
     n_messages: Counter[tuple[str, bool]] = field(default_factory=Counter)
     token_links: set[tuple[str, str]] = field(default_factory=set)
     lines: list[LogRequest] = field(default_factory=list)
@@ -173,6 +179,7 @@
     _ticks_s: dict[str, float] = field(default_factory=dict)
     _open: dict[int, tuple[str, float]] = field(default_factory=dict)
     _delays_s: dict[tuple[str, str], float] = field(default_factory=dict)
+    _renewed_s: dict[str, float] = field(default_factory=dict)
 
     def schedule(self, when_s: float, action: Callable[[], None]) -> None:
         """Run an action at a time."""
@@ -207,11 +214,15 @@
         """Let a paused instance handle what arrived meanwhile."""
         self._tick(seat, self.paused.pop(seat, []))
 
-    def _start(self, seat: str) -> None:
-        listings = [
+    def _listings(self) -> list[Listing]:
+        return [
             Listing(name, "y", "x", world.identity.data_centre)
             for name, world in self.worlds.items()
+            if self.now_s - self._renewed_s.get(name, self.now_s) < LEASE_S
         ]
+
+    def _start(self, seat: str) -> None:
+        listings = self._listings()
         received = ConfigurationReceived(Snapshot(1, self.document), [], True)
         self._tick(seat, [received, PeersListed(listings)])
         incarnation = self.worlds[seat].identity.incarnation
@@ -222,14 +233,18 @@
             return
         later_s = self.now_s + CONFIRMATION_S
         self.schedule(later_s, lambda: self._confirm(seat, incarnation))
-        if seat not in self.cut:
-            self._tick(seat, [RevisionConfirmed(1)])
+        if seat in self.cut | self.storeless:
+            self._renewed_s.setdefault(seat, self.now_s)
+            return
+        self._renewed_s.pop(seat, None)
+        self._tick(seat, [RevisionConfirmed(1), PeersListed(self._listings())])
 
     def send(self, seat: str, account: str) -> None:
         """Send a request of an account to an instance."""
         number = self._n_events = self._n_events + 1
         row = self.accounts[account]
         row.arrived_s.append(self.now_s)
+        self.n_sent[seat, account] += 1
         self._open[number] = (account, self.now_s)
         self._tick(seat, [RequestArrived(number, "/look/x", key_hash(account))])
 
@@ -322,8 +337,13 @@
         return sum(self.n_messages[name, True] for name in names)
 
 
-def make_fleet(n_instances: int, accounts: list[Account], seed: int) -> TimedFleet:
-    """Make a fleet whose instances are spread evenly over the data centres."""
+def make_fleet(
+    n_instances: int,
+    accounts: list[Account],
+    seed: int,
+    data_centres: tuple[str, ...] = DATA_CENTRES,
+) -> TimedFleet:
+    """Make a fleet whose instances are spread evenly over data centres."""
     policies = Policies(
         limits=DemandShares(),
         choice=ObjectPlacement(),
@@ -337,7 +357,7 @@
     rng = random.Random(seed)
     worlds = {}
     for number in range(n_instances):
-        data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+        data_centre = data_centres[number % len(data_centres)]
         seat = f"n-{number}"
         identity = Identity(seat, data_centre, data_centre[0], number + 1, "x", "y")
         # Heartbeats of real instances are not in step.
