Know servers that stay cold for more than an hour

Requests were not sent to a server whose record says that it is cold for longer, as if the record could not be read.

Cause: the bound was that of the own interface's ramp, which holds no more for the platform's configuration.

Change: the bound is only what no clock can mean. What a peer may tell of a server that refuses connections keeps its bound of an hour.

Before: tests/test_accepted_configurations.py fails with the record's failure. After: it passes.

--- a/src/rhubarbspan/record_checks.py
+++ b/src/rhubarbspan/record_checks.py
@@ -17,8 +17,9 @@
 MAX_ADDRESS_LENGTH = 47
 MAX_ID_LENGTH = 200
 MAX_SLOTS = 10_000
-# As long as a service may be cold by its configuration.
-MAX_COLD_S = 3600.0
+# The platform has no bound on how long a service may be cold; a record with a longer
+# time than this is no server's.
+MAX_COLD_S = 1e9
 # Machines are not slowed or sped up by more than this while other work shares them.
 MIN_SLOWDOWN = 0.1
 MAX_SLOWDOWN = 100.0
--- a/src/rhubarbspan/systems/health.py
+++ b/src/rhubarbspan/systems/health.py
@@ -20,7 +20,6 @@
     Timer,
 )
 from ..peer_messages import Heartbeat
-from ..record_checks import MAX_COLD_S
 from ..tables.servers import ServerRow
 from ..world import World
 from .announcements import (
@@ -43,6 +42,8 @@
 # If a larger fraction of a pool's registrations is missing, they have expired in an
 # outage of the store.
 OUTAGE_MISSING_FRACTION = 0.6
+# Longest time for which a peer may have a server count as cold.
+MAX_TOLD_COLD_S = 3600.0
 
 
 def watch_servers(world: World, now_s: float, inbox: Inbox) -> Effects:
@@ -220,7 +221,7 @@
     for server_id, remaining_s in refusing_s.items():
         row = world.servers.get(server_id)
         if row is not None:
-            until_s = now_s + min(remaining_s, MAX_COLD_S)
+            until_s = now_s + min(remaining_s, MAX_TOLD_COLD_S)
             row.refused_until_s = max(row.refused_until_s, until_s)
             row.cold_until_s = max(row.cold_until_s, until_s)
 
--- a/tests/test_accepted_configurations.py
+++ b/tests/test_accepted_configurations.py
@@ -10,10 +10,12 @@
 from rhubarbspan.checking import check_document
 from rhubarbspan.configuration import Configuration
 from rhubarbspan.document_rules import TranslatedRules
+from rhubarbspan.inputs import ServerListing
 from rhubarbspan.platform.configuration import (
     TranslatedConfiguration,
     translate_configuration,
 )
+from rhubarbspan.platform.records import decode_server
 from rhubarbspan.sections import Problem
 from rhubarbspan.standins.platform_deployment import HOST, configuration_document
 
@@ -159,6 +161,18 @@
     assert "beside" in configuration.routes
 
 
+# Servers of a service that may be cold for longer were taken for unreadable.
+def test_server_that_is_cold_for_hours_is_known() -> None:
+    record = {
+        "address": "10.0.0.1:80",
+        "instanceInfo": {"service": "shop", "zone": "a-1", "slots": 3},
+        "status": {"state": "ready", "sequence": 4, "coldRemainingS": 7200},
+    }
+    server = decode_server("servers/i-1", json.dumps(record).encode())
+    assert isinstance(server, ServerListing), server
+    assert server.cold_s == 7200.0
+
+
 # CONFIG: routes stayed with their old service beside a new one under /-/, and an
 # instance that started then had no configuration.
 def test_configuration_with_a_route_under_the_own_interface_is_served(
