Look only at instances that miss somebody when a heartbeat arrives

For each heartbeat that arrived, all known instances were looked through for those that miss its author: with 7,400 instances and 82 heartbeats in half a second, 1.2 million a second, though nobody misses anybody in calm.

Change: the table of peers keeps the seats that told that they miss others.

--- a/src/rhubarbspan/systems/relaying.py
+++ b/src/rhubarbspan/systems/relaying.py
@@ -53,19 +53,20 @@
 
 def echoes_to_pass_on(world: World, missed: list[str]) -> dict[str, list[int]]:
     """Return what this instance has of those that it misses or that miss it."""
-    own_seat = world.identity.seat
-    rows = [
-        row
-        for row in world.peers.rows()
-        if row.incarnation and (row.seat in missed or own_seat in row.missed)
-    ]
-    return {row.seat: [row.incarnation, row.newest_sequence()] for row in rows}
+    echoes: dict[str, list[int]] = {}
+    for seat in sorted(world.peers.missing.union(missed)):
+        row = world.peers.get(seat)
+        if row is None or not row.incarnation:
+            continue
+        if seat in missed or world.identity.seat in row.missed:
+            echoes[seat] = [row.incarnation, row.newest_sequence()]
+    return echoes
 
 
 def apply_told_ways(world: World, row: PeerRow, heartbeat: Heartbeat) -> None:
     """Apply what a heartbeat tells of whom its author hears, and what it has heard."""
     own = world.identity
-    row.missed = frozenset(heartbeat.missed)
+    world.peers.set_missed(row, heartbeat.missed)
     echo = heartbeat.echoes.get(own.seat, [])
     if len(echo) == 2 and echo[0] == own.incarnation:
         sent_s = world.heartbeats_sent_s.get(echo[1])
@@ -94,9 +95,11 @@
         return []
     own = world.identity
     effects: Effects = []
-    for row in world.peers.rows():
+    for seat in sorted(world.peers.missing):
+        row = world.peers.get(seat)
         if (
-            heartbeat.seat not in row.missed
+            row is None
+            or heartbeat.seat not in row.missed
             or not row.is_alive
             or not exchanges_heartbeats(world, row)
             or not _is_relay_between(world, heartbeat.seat, row.seat)
--- a/src/rhubarbspan/tables/peers.py
+++ b/src/rhubarbspan/tables/peers.py
@@ -96,13 +96,15 @@
     Attributes:
         holders: Seats that reported to hold shares of any account. There is none
             unless shares are delegated.
+        missing: Seats that told that they miss others.
     """
 
-    __slots__ = ("_rows", "holders")
+    __slots__ = ("_rows", "holders", "missing")
 
     def __init__(self) -> None:
         self._rows: dict[str, PeerRow] = {}
         self.holders: set[str] = set()
+        self.missing: set[str] = set()
 
     def get(self, seat: str) -> PeerRow | None:
         """Return a row, or None."""
@@ -116,6 +118,7 @@
         """Remove a row."""
         del self._rows[seat]
         self.holders.discard(seat)
+        self.missing.discard(seat)
 
     def set_demands(
         self, row: PeerRow, now_s: float, demands: list[AccountDemand]
@@ -128,6 +131,14 @@
         else:
             self.holders.discard(row.seat)
 
+    def set_missed(self, row: PeerRow, missed: list[str]) -> None:
+        """Replace the instances that an instance does not hear."""
+        row.missed = frozenset(missed)
+        if missed:
+            self.missing.add(row.seat)
+        else:
+            self.missing.discard(row.seat)
+
     def rows(self) -> list[PeerRow]:
         """List all rows."""
         return list(self._rows.values())
