Hold requests to the instance's own bound on the configuration's age

Cause: the bound was written into each route of the translated document, which changes only with its revision. A reading of the same revision confirms it and translates nothing. Peers got the document with the bound of another machine's settings.

Change: the bound is a policy of the instance, InstanceAge, and in no document. It is compared when a request arrives, when one that no server has run comes back, and for all that wait when the policies change. The own interface keeps the option of its routes, RouteAge. Delivered documents carry the sender's bound of that moment, as instances of earlier versions have no other; later ones ignore it.

Ruled out: that the change of the file was not noticed (the log line of changed settings comes before the withdrawal), and the confirmations of the store. Translating again under the same revision would have peers exchange documents that differ under one number.

test_platform_formats asked that the translation holds the bound. That was the fault: it now asks that it holds none, and tests/test_changed_settings.py asks for the bound of the instance instead.

--- a/src/rhubarbspan/configuration.py
+++ b/src/rhubarbspan/configuration.py
@@ -29,6 +29,8 @@
         pool: The pool that serves the route; for a split route, the pool of its first
             part.
         is_open: Whether the route needs no API key.
+        max_config_age_s: Largest age of the configuration, or 0 for no bound. It holds
+            where the policies leave it to the routes.
         host: The host that the route matches, or an empty string for all hosts.
         n_max_attempts: Maximum number of attempts for one request, without those that
             a server shed.
--- a/src/rhubarbspan/document.py
+++ b/src/rhubarbspan/document.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 DATA_CENTRE_PREFIX = "data_centre "
+ROUTE_PREFIX = "route "
 
 Section = dict[str, str]
 Document = dict[str, Section]
--- a/src/rhubarbspan/edge/feed.py
+++ b/src/rhubarbspan/edge/feed.py
@@ -8,7 +8,7 @@
 
 from ..bodies import TOO_COSTLY
 from ..effects import StoreAccess
-from ..inputs import StoreRead, StoreRecovered
+from ..inputs import PoliciesChanged, StoreRead, StoreRecovered
 from ..keyvalue import ERA_ENDED, OLD_ERA
 from ..peer_messages import StoreUpdate
 from ..platform.records import INSTANCE_PREFIX, OPERATOR_PREFIX, SERVER_PREFIX
@@ -214,6 +214,7 @@
         while True:
             await self._ticker.wait_for_failure()
             await asyncio.sleep(REPUBLISH_DELAY_S)
+            self._ticker.inputs.on_next(PoliciesChanged())
             self._publisher.repeat_era()
             for mirror in self._mirrors.values():
                 if mirror.has_been_read:
--- a/src/rhubarbspan/edge/instance.py
+++ b/src/rhubarbspan/edge/instance.py
@@ -30,13 +30,14 @@
     StartAttempt,
     WriteClaim,
 )
-from ..inputs import StopRequested
+from ..inputs import PoliciesChanged, StopRequested
 from ..platform.settings import Bounds, PlatformSettings, read_platform_settings
 from ..platform.store import PlatformStore
 from ..policies import (
     GRACE_PERIOD_MARGIN_S,
     ByCost,
     DemandShares,
+    InstanceAge,
     ObjectPlacement,
     Policies,
     with_grace_period,
@@ -62,6 +63,10 @@
 MS_PER_S = 1000
 HEARTBEAT_INTERVAL_S = 0.5
 DEAD_AFTER_S = 1.6
+# Largest age of a configuration, as a fraction of the time after which a revoked key
+# must be rejected; the rest allows for clock error. Time in a queue does not count,
+# since the bound applies to when a request was sent.
+MAX_AGE_FRACTION = 0.95
 # Fraction of the allowed retries that instances use. The margin is needed because each
 # instance counts only its own retries.
 RETRY_FRACTION = 0.6
@@ -89,6 +94,7 @@
     bounds = settings.bounds
     policies = Policies(
         documents=TranslatedRules(),
+        config_age=InstanceAge(MAX_AGE_FRACTION * bounds.revocation_s),
         limits=DemandShares(),
         choice=ObjectPlacement(),
         queue_order=ByCost(needs_speed=True),
@@ -213,9 +219,7 @@
     def apply_settings(self, settings: PlatformSettings) -> None:
         """Apply changed settings, except the instance's name, location and addresses.
 
-        Changed bounds apply to later decisions, with one exception: the maximum age of
-        the configuration is part of the configuration, and so changes only with its
-        next revision.
+        Changed bounds apply to all later decisions, also on requests that wait.
         """
         current = self.settings
         settings = replace(
@@ -234,6 +238,7 @@
         self._bound_memory()
         self._feed.set_settings(settings)
         self._lookups.set_lifetime(lookup_lifetime_s(settings.bounds))
+        self.ticker.inputs.on_next(PoliciesChanged())
 
     async def run(self) -> None:
         """Wait until the instance has shut down, then close everything."""
--- a/src/rhubarbspan/edge/publisher.py
+++ b/src/rhubarbspan/edge/publisher.py
@@ -31,10 +31,6 @@
 from .mirror import NEVER_S, Mirror
 from .ticker import Ticker
 
-# Largest age of a configuration, as a fraction of the time after which a revoked key
-# must be rejected; the rest allows for clock error. Time in a queue does not count,
-# since the bound applies to when a request was sent.
-MAX_AGE_FRACTION = 0.95
 # Longer than servers are kept whose records are missing after an outage.
 FULL_READ_PUBLISH_S = 5.0
 # Twice the time between two readings of the instances, the slowest: one may come before
@@ -46,7 +42,7 @@
 class _Translated:
     """The operator's configuration, with what it was translated from."""
 
-    source: tuple[bytes, dict[str, str], float]
+    source: tuple[bytes, dict[str, str]]
     result: TranslatedConfiguration | Failure
 
 
@@ -170,8 +166,7 @@
 
     def _translate(self, value: bytes) -> TranslatedConfiguration | Failure:
         """Translate the operator's configuration, unless it is the one before."""
-        max_age_s = MAX_AGE_FRACTION * self.settings.bounds.revocation_s
-        source = (value, self.settings.regions, max_age_s)
+        source = (value, self.settings.regions)
         if self._translated is None or self._translated.source != source:
             result = decode_guarded(
                 lambda: translate_configuration(*source), self._failures
--- a/src/rhubarbspan/inputs.py
+++ b/src/rhubarbspan/inputs.py
@@ -319,6 +319,11 @@
     is_just_written: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class PoliciesChanged:
+    """The policies of the world were replaced, as the settings have changed."""
+
+
 @dataclass(slots=True)
 class RevisionConfirmed:
     """The store confirmed that a revision is still its newest.
@@ -406,6 +411,7 @@
     | ProbeFailed
     | ConfigurationReceived
     | RevisionConfirmed
+    | PoliciesChanged
     | PeerMessageReceived
     | ClaimSettled
     | StopRequested
--- a/src/rhubarbspan/inspection.py
+++ b/src/rhubarbspan/inspection.py
@@ -16,7 +16,7 @@
     find_unused,
 )
 from .platform.configuration import list_unused_parts, translate_configuration
-from .platform.settings import Bounds, read_platform_settings
+from .platform.settings import read_platform_settings
 from .sections import Problem
 from .verdict import Failure
 
@@ -69,7 +69,7 @@
         return loaded if isinstance(loaded, Failure) else ReadFile(loaded[0])
     value = text.encode()
     # The age of a configuration in use does not matter for the checks.
-    translated = translate_configuration(value, regions, Bounds().revocation_s)
+    translated = translate_configuration(value, regions)
     if isinstance(translated, Failure):
         return Failure(translated.code, f"{path}: {translated.reason}")
     unused = list_unused_parts(value)
--- a/src/rhubarbspan/platform/configuration.py
+++ b/src/rhubarbspan/platform/configuration.py
@@ -143,15 +143,13 @@
 
 
 def translate_configuration(
-    value: bytes, regions: dict[str, str], max_age_s: float
+    value: bytes, regions: dict[str, str]
 ) -> TranslatedConfiguration | Failure:
     """Decode the operator's JSON configuration and translate it to a document.
 
     Args:
         value: JSON text from the store.
         regions: Region of each data centre.
-        max_age_s: Maximum age of the configuration, in seconds, for requests that
-            need a key.
 
     Returns:
         The document and its revision, or a failure with the decoder's message.
@@ -160,7 +158,7 @@
     if isinstance(decoded, Failure):
         return decoded
     configuration = decoded.configuration
-    document = _to_document(configuration, regions, max_age_s)
+    document = _to_document(configuration, regions)
     return TranslatedConfiguration(configuration.version, document, decoded.refused)
 
 
@@ -329,9 +327,7 @@
             refused[place] = "its requests are refused, as no service is named for them"
 
 
-def _to_document(
-    decoded: _Configuration, regions: dict[str, str], max_age_s: float
-) -> Document:
+def _to_document(decoded: _Configuration, regions: dict[str, str]) -> Document:
     document: Document = {}
     for zone, region in regions.items():
         _add(document, "data_centre", zone, {"region": region, "seats": "0"})
@@ -342,7 +338,7 @@
     needs_keys = decoded.tenants is not None
     for host in decoded.hosts:
         for path in host.paths:
-            section = _translate_path(host.host, path, needs_keys, max_age_s)
+            section = _translate_path(host.host, path, needs_keys)
             _add_route(document, path.name or path.prefix, section)
     document["limits callers"] = _translate_limits(decoded.limits)
     return document
@@ -417,9 +413,7 @@
     }
 
 
-def _translate_path(
-    host: str, path: _Path, needs_keys: bool, max_age_s: float
-) -> Section:
+def _translate_path(host: str, path: _Path, needs_keys: bool) -> Section:
     is_open = path.allowAnonymous or not needs_keys
     parts = [(_valid_name(part.service), part.weight) for part in path.split]
     section = {
@@ -437,8 +431,6 @@
     }
     if parts:
         section["split"] = ", ".join(f"{pool}={weight}" for pool, weight in parts)
-    if not is_open:
-        section["max_config_age_s"] = str(max_age_s)
     return section
 
 
--- a/src/rhubarbspan/policies.py
+++ b/src/rhubarbspan/policies.py
@@ -97,6 +97,28 @@
 QueueOrder = ByArrival | FirstCome | EarliestDeadline | ShortestWork | ByCost
 
 
+@dataclass(frozen=True, slots=True)
+class RouteAge:
+    """Each route says how old the configuration may be for its requests."""
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceAge:
+    """One bound of the instance holds for all requests that need a key.
+
+    It is no part of a revision: the next one may never come, and other instances, which
+    get the revision from this one, have bounds of their own.
+
+    Attributes:
+        max_age_s: Largest age of the configuration when such a request arrives.
+    """
+
+    max_age_s: float
+
+
+ConfigAge = RouteAge | InstanceAge
+
+
 @dataclass(frozen=True, slots=True)
 class Policies:
     """The policies of one instance.
@@ -131,6 +153,7 @@
         finish_leaving_s: How long after the stop request its requests may run. The
             process is killed soon after.
         documents: The rules for the configuration's document.
+        config_age: How old the configuration may be by which a request is served.
     """
 
     limits: LimitPolicy = PooledShares()
@@ -155,6 +178,7 @@
     serve_leaving_s: float = 4.0
     finish_leaving_s: float = float("inf")
     documents: DocumentRules = OWN_RULES
+    config_age: ConfigAge = RouteAge()
 
 
 def with_grace_period(policies: Policies, grace_s: float) -> Policies:
--- a/src/rhubarbspan/report/status.py
+++ b/src/rhubarbspan/report/status.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from ..systems.bucketing import capacity, n_lent, refill, refill_rate_per_s
-from ..systems.revisions import config_age_s
+from ..systems.config_age import config_age_s
 from ..systems.shifting import link_share_bytes_per_s
 from ..systems.slots import n_free_slots, n_usable_slots, owned_servers
 from ..world import World
--- a/src/rhubarbspan/systems/departure.py
+++ b/src/rhubarbspan/systems/departure.py
@@ -2,7 +2,7 @@
 
 from ..effects import Effects, Exit, LogChange, LogLevel
 from ..inputs import Inbox, StopRequested, Timer
-from ..tables.requests import RequestState
+from ..tables.requests import WAITING_STATES, RequestState
 from ..verdict import NotRun, Reason
 from ..world import Departure, World
 from .completion import describe_outcome, fail_request
@@ -15,11 +15,6 @@
 ALONE_RETRY_S = 1.0
 # How late a tick may be, beyond the interval between heartbeats, without a pause.
 TICK_LATENESS_S = 0.1
-WAITING_STATES = (
-    RequestState.ADMITTING,
-    RequestState.ADMITTED,
-    RequestState.QUEUED,
-)
 
 
 def may_finish(world: World, now_s: float, deadline_s: float) -> bool:
--- a/src/rhubarbspan/systems/intake.py
+++ b/src/rhubarbspan/systems/intake.py
@@ -10,11 +10,11 @@
 from ..tables.requests import RequestRow, RequestState
 from ..verdict import NotRun, Reason
 from ..world import World
+from .config_age import config_age_s, is_too_old
 from .departure import leaving_retry_s, may_finish
 from .fleet_layout import known_seats
 from .quarantine import is_quarantined
 from .queueing import longest_lane, record_pool_arrivals
-from .revisions import config_age_s
 from .routing import (
     choose_split_pool,
     priority_and_regions,
@@ -103,8 +103,7 @@
     route = match_route(world.configuration, arrived.path, arrived.host)
     if route is None:
         return NotRun(Reason.UNKNOWN_ROUTE)
-    max_age_s = route.max_config_age_s
-    if max_age_s and config_age_s(world, now_s) > max_age_s:
+    if is_too_old(world, route, now_s):
         return NotRun(Reason.STALE_CONFIGURATION)
     account = ""
     if not route.is_open:
--- a/src/rhubarbspan/systems/membership.py
+++ b/src/rhubarbspan/systems/membership.py
@@ -16,6 +16,7 @@
 from ..world import World
 from .announcements import describe_leaving
 from .bucketing import holds_delegated_shares
+from .config_age import config_age_s
 from .confirmations import (
     FIRST_CONFIRMATION_S,
     advertise_demands,
@@ -40,7 +41,6 @@
     lapsed_seats,
     missed_seats,
 )
-from .revisions import config_age_s
 from .slots import n_free_slots, n_usable_slots, owned_servers
 from .store_eras import is_restored_lately
 from .suspect_sharing import first_sequence_to_tell, suspects_since
--- a/src/rhubarbspan/systems/outcomes.py
+++ b/src/rhubarbspan/systems/outcomes.py
@@ -21,6 +21,7 @@
 from ..world import World
 from .avoidance import record_response
 from .completion import SERVER_ERROR_STATUS, complete_request, fail_request
+from .config_age import is_too_old
 from .quarantine import (
     clear_suspect,
     is_quarantined,
@@ -171,6 +172,8 @@
         return _leave_to_caller(world, now_s, row, row.last_verdict)
     if row.n_shed > MAX_SHEDS_PER_REQUEST or now_s >= row.deadline_s:
         return fail_request(world, now_s, row, row.last_verdict)
+    if is_too_old(world, row.route, row.arrived_s):
+        return fail_request(world, now_s, row, row.last_verdict)
     world.count("shed", row.route.pool)
     if world.policies.do_sheds_use_retry_budget:
         queue = world.queues.queue_of(row.route.pool)
@@ -249,6 +252,7 @@
         return fail_request(world, now_s, row, verdict)
     n_failed = row.n_attempts - row.n_shed
     cannot_retry = n_failed >= row.route.n_max_attempts or now_s >= row.deadline_s
+    cannot_retry |= is_too_old(world, row.route, row.arrived_s)
     if cannot_retry or queue.retry_budget < 1:
         world.count("retries_refused", row.route.pool)
         return fail_request(world, now_s, row, verdict)
--- a/src/rhubarbspan/systems/revisions.py
+++ b/src/rhubarbspan/systems/revisions.py
@@ -4,9 +4,19 @@
 older one.
 """
 
+from dataclasses import replace
+
 from ..checking import check_document
 from ..configuration import Configuration
-from ..document import DATA_CENTRE_PREFIX, Change, Document, Snapshot, apply_changes
+from ..document import (
+    DATA_CENTRE_PREFIX,
+    ROUTE_PREFIX,
+    Change,
+    Document,
+    Section,
+    Snapshot,
+    apply_changes,
+)
 from ..document_rules import OwnRules, TranslatedRules
 from ..effects import Effects, LogChange, LogLevel, SendPeerMessage
 from ..inputs import (
@@ -16,11 +26,13 @@
     RevisionConfirmed,
 )
 from ..peer_messages import ConfigurationDelivery, ConfigurationRequest, Heartbeat
+from ..policies import InstanceAge, RouteAge
 from ..world import World
 from .store_eras import shows_newest
 
 N_CHANGES_KEPT = 256
 REQUEST_INTERVAL_S = 0.2
+MAX_CONFIG_AGE_KEY = "max_config_age_s"
 
 
 def apply_revisions(world: World, now_s: float, inbox: Inbox) -> Effects:
@@ -47,11 +59,6 @@
     return effects
 
 
-def config_age_s(world: World, now_s: float) -> float:
-    """Return the time since the configuration was last known to be the newest."""
-    return max(0.0, now_s - world.configuration_state.confirmed_s)
-
-
 def _handle_configuration(
     world: World, now_s: float, update: ConfigurationReceived
 ) -> Effects:
@@ -230,7 +237,7 @@
     own = world.identity
     changes = [c for c in state.changes if c.revision > request.revision]
     is_complete = bool(changes) and changes[0].revision == request.revision + 1
-    snapshot = None if is_complete else state.snapshot
+    snapshot = None if is_complete else _with_own_bound(world, state.snapshot)
     delivery = ConfigurationDelivery(
         own.seat,
         own.incarnation,
@@ -238,3 +245,24 @@
         changes if is_complete else [],
     )
     return [SendPeerMessage(request.seat, delivery)]
+
+
+def _with_own_bound(world: World, snapshot: Snapshot) -> Snapshot:
+    """Add the own bound on the configuration's age to the routes that need a key.
+
+    Instances of earlier versions have no other bound. Later ones use their own.
+    """
+    match world.policies.config_age:
+        case RouteAge():
+            return snapshot
+        case InstanceAge(max_age_s=max_age_s):
+            bound = {MAX_CONFIG_AGE_KEY: str(max_age_s)}
+    document = {
+        title: {**section, **bound} if _needs_key(title, section) else section
+        for title, section in snapshot.document.items()
+    }
+    return replace(snapshot, document=document)
+
+
+def _needs_key(title: str, section: Section) -> bool:
+    return title.startswith(ROUTE_PREFIX) and section.get("open") != "yes"
--- a/src/rhubarbspan/tables/requests.py
+++ b/src/rhubarbspan/tables/requests.py
@@ -18,6 +18,14 @@
     RUNNING = "running"
 
 
+# Not yet sent to a server, and without a claim whose fate is unknown.
+WAITING_STATES = (
+    RequestState.ADMITTING,
+    RequestState.ADMITTED,
+    RequestState.QUEUED,
+)
+
+
 @dataclass(slots=True)
 class RequestRow:
     """One request in progress.
--- a/src/rhubarbspan/tick.py
+++ b/src/rhubarbspan/tick.py
@@ -7,6 +7,7 @@
 from .systems.admission import admit_requests
 from .systems.announcements import record_announcements
 from .systems.claiming import claim_requests
+from .systems.config_age import refuse_unconfirmed
 from .systems.departure import exit_when_idle, leave_fleet
 from .systems.dispatch import dispatch_requests
 from .systems.expiry import expire_requests
@@ -43,6 +44,7 @@
     update_suspects,
     handle_ended_attempts,
     expire_requests,
+    refuse_unconfirmed,
     receive_requests,
     share_limits,
     admit_requests,
--- /dev/null
+++ b/tests/test_changed_settings.py
@@ -0,0 +1,282 @@
+"""Tests of settings that change while an instance runs."""
+
+import asyncio
+import json
+import signal
+from dataclasses import replace
+
+import pytest
+
+from conftest import RunFleet, build_world
+from platform_site import PlatformSite
+from process_fleet import InstanceProcess, ProcessFleet
+from rhubarbspan.document import Document, Snapshot
+from rhubarbspan.edge.instance import MAX_AGE_FRACTION
+from rhubarbspan.effects import Effects, FinishRequest, SendPeerMessage
+from rhubarbspan.inputs import (
+    AttemptEnded,
+    ConfigurationReceived,
+    ConnectFailed,
+    PeerMessageReceived,
+    PoliciesChanged,
+    RequestArrived,
+    Shed,
+    StopRequested,
+)
+from rhubarbspan.peer_messages import ConfigurationDelivery, ConfigurationRequest
+from rhubarbspan.policies import InstanceAge, Policies
+from rhubarbspan.standins.platform_deployment import (
+    KEY,
+    read_reply,
+    request_bytes,
+    send_request,
+)
+from rhubarbspan.standins.platform_store import Mode
+from rhubarbspan.tick import run_tick
+from rhubarbspan.verdict import NotRun, Reason, Verdict
+from rhubarbspan.world import World
+
+KEY_HASH = "a" * 64
+# Worlds are built at 100 s, when their configuration is confirmed, and run for 6 s.
+NOW_S = 106.5
+LONG_S, SHORT_S = 10.0, 5.0
+GUEST_KEY = "secret-guest"
+
+
+def make_aged_world(
+    document: Document, max_age_s: float, n_servers: int = 1, **policies: float
+) -> World:
+    """Return a world whose configuration was confirmed 6.5 s before ``NOW_S``."""
+    age = InstanceAge(max_age_s)
+    return build_world(
+        document, n_servers, policies=Policies(config_age=age, **policies)
+    )
+
+
+def change_bound(world: World, now_s: float, max_age_s: float) -> Effects:
+    """Change the bound on the configuration's age."""
+    age = InstanceAge(max_age_s)
+    world.policies = replace(world.policies, config_age=age)
+    return run_tick(world, now_s, [PoliciesChanged()])
+
+
+def verdict_of(effects: Effects, request_id: int) -> Verdict | None:
+    """Return the verdict on a request that was finished, or None."""
+    for effect in effects:
+        if isinstance(effect, FinishRequest) and effect.request_id == request_id:
+            return effect.verdict
+    return None
+
+
+def ask(world: World, now_s: float, request_id: int, path: str = "/look/a") -> Effects:
+    """Have a request arrive."""
+    return run_tick(world, now_s, [RequestArrived(request_id, path, KEY_HASH)])
+
+
+STALE = NotRun(Reason.STALE_CONFIGURATION)
+
+
+# A withdrawn key ran for as long as the bound of before had allowed.
+def test_changed_bound_on_the_configurations_age_holds_for_the_next_request(
+    single: Document,
+) -> None:
+    world = make_aged_world(single, LONG_S)
+    assert verdict_of(ask(world, NOW_S, 1), 1) is None
+    for number, (bound_s, verdict) in enumerate(
+        [(SHORT_S, STALE), (SHORT_S - 1, STALE), (LONG_S, None), (LONG_S + 5, None)]
+    ):
+        now_s = NOW_S + 0.1 * (number + 1)
+        change_bound(world, now_s, bound_s)
+        assert verdict_of(ask(world, now_s, number + 2), number + 2) == verdict
+    change_bound(world, NOW_S + 0.6, SHORT_S)
+    assert verdict_of(ask(world, NOW_S + 0.6, 9, "/open/a"), 9) is None
+
+
+@pytest.mark.parametrize("state_of", ["token", "slot"])
+def test_lowered_bound_refuses_at_once_what_waits_for(
+    single: Document, state_of: str
+) -> None:
+    single["client_account ana"] |= {"burst": "1", "rate_per_s": "2"}
+    n_servers = 0 if state_of == "slot" else 1
+    world = make_aged_world(single, LONG_S, n_servers)
+    arrived = [RequestArrived(1, "/open/a"), RequestArrived(2, "/look/a", KEY_HASH)]
+    if state_of == "token":
+        arrived.append(RequestArrived(3, "/look/b", KEY_HASH))
+    effects = run_tick(world, NOW_S, [*arrived])
+    waits = len(arrived)
+    assert verdict_of(effects, waits) is None
+    effects = change_bound(world, NOW_S + 0.01, SHORT_S)
+    assert verdict_of(effects, waits) == STALE
+    assert verdict_of(effects, 1) is None
+
+
+def test_lowered_bound_leaves_what_arrived_while_the_configuration_was_young(
+    single: Document,
+) -> None:
+    world = make_aged_world(single, LONG_S, n_servers=0)
+    ask(world, 104.0, 1)
+    assert verdict_of(change_bound(world, NOW_S, SHORT_S), 1) is None
+
+
+def test_confirmation_since_the_arrival_lets_what_waits_run(single: Document) -> None:
+    world = make_aged_world(single, LONG_S, n_servers=0)
+    ask(world, NOW_S, 1)
+    confirmed = ConfigurationReceived(Snapshot(1, single, 1), [], True, NOW_S)
+    run_tick(world, NOW_S + 0.1, [confirmed])
+    assert verdict_of(change_bound(world, NOW_S + 0.2, SHORT_S), 1) is None
+
+
+@pytest.mark.parametrize("outcome", [Shed(), ConnectFailed()])
+def test_request_that_comes_back_after_the_bound_was_lowered_is_not_sent_again(
+    single: Document, outcome: Shed | ConnectFailed
+) -> None:
+    world = make_aged_world(single, LONG_S, n_servers=2)
+    ask(world, NOW_S, 1)
+    assert verdict_of(change_bound(world, NOW_S + 0.1, SHORT_S), 1) is None
+    effects = run_tick(world, NOW_S + 0.2, [AttemptEnded(1, 1, outcome)])
+    assert isinstance(verdict_of(effects, 1), NotRun)
+
+
+def test_bound_that_changes_with_the_stop_holds_for_the_stop(single: Document) -> None:
+    world = make_aged_world(single, LONG_S, serve_leaving_s=4.0, finish_leaving_s=9.0)
+    run_tick(world, NOW_S - 0.1, [])
+    world.policies = replace(world.policies, config_age=InstanceAge(SHORT_S))
+    run_tick(world, NOW_S, [PoliciesChanged(), StopRequested()])
+    assert verdict_of(ask(world, NOW_S + 0.1, 1), 1) == STALE
+    change_bound(world, NOW_S + 0.2, LONG_S)
+    assert verdict_of(ask(world, NOW_S + 0.3, 2), 2) is None
+
+
+def test_configuration_of_a_peer_with_other_settings_brings_no_bound(
+    single: Document,
+) -> None:
+    """Peers of earlier versions tell their bound in the document."""
+    for told_s, own_s, verdict in ((LONG_S, SHORT_S, STALE), (SHORT_S, LONG_S, None)):
+        world = make_aged_world(single, own_s)
+        sections = {
+            title: {**section, "max_config_age_s": str(told_s)}
+            if title.startswith("route ")
+            else section
+            for title, section in single.items()
+        }
+        delivery = ConfigurationDelivery("x-2", 1, Snapshot(2, sections, 1), [])
+        run_tick(world, NOW_S, [PeerMessageReceived(delivery)])
+        assert world.configuration.revision == 2
+        assert verdict_of(ask(world, NOW_S + 0.1, 1), 1) == verdict
+
+
+def test_instance_of_an_earlier_version_gets_the_bound_in_force_with_the_document(
+    single: Document,
+) -> None:
+    world = make_aged_world(single, LONG_S)
+    change_bound(world, NOW_S, SHORT_S)
+    request = ConfigurationRequest("x-2", 1, 0)
+    effects = run_tick(world, NOW_S + 0.1, [PeerMessageReceived(request)])
+    (sent,) = [effect for effect in effects if isinstance(effect, SendPeerMessage)]
+    assert isinstance(sent.message, ConfigurationDelivery)
+    assert sent.message.snapshot is not None
+    document = sent.message.snapshot.document
+    assert document["route look"]["max_config_age_s"] == str(SHORT_S)
+    assert "max_config_age_s" not in document["route open"]
+    assert "max_config_age_s" not in world.configuration_state.snapshot.document
+
+
+def set_revocation(site: PlatformSite, revocation_s: float) -> None:
+    """Change the bound on withdrawn keys in the settings of the first instance."""
+    instance = site.instances[0]
+    bounds = replace(instance.settings.bounds, revocation_s=revocation_s)
+    instance.apply_settings(replace(instance.settings, bounds=bounds))
+
+
+def test_bound_that_changes_while_the_store_is_away_holds_on_open_connections(
+    deployed: PlatformSite,
+) -> None:
+    async def work() -> list[int]:
+        reader, writer = await deployed.connect()
+        statuses = []
+
+        async def send() -> None:
+            writer.write(request_bytes("/look/x"))
+            statuses.append((await read_reply(reader)).status)
+
+        deployed.store.mode = Mode.BUSY
+        await send()
+        await asyncio.sleep(2.5)
+        for revocation_s in (2.0, 10.0, 1.0, 10.0):
+            set_revocation(deployed, revocation_s)
+            await send()
+        deployed.store.mode = Mode.SERVING
+        set_revocation(deployed, 2.0)
+        await asyncio.sleep(1.0)
+        await send()
+        writer.close()
+        return statuses
+
+    assert deployed.run(work()) == [200, 503, 200, 503, 200, 200]
+
+
+def write_bound(
+    fleet: ProcessFleet, instance: InstanceProcess, revocation_s: float
+) -> None:
+    """Write the bound on withdrawn keys to an instance's settings file."""
+    settings = json.loads(instance.file.read_text())
+    settings["bounds"] = [f"graceS={fleet.grace_s:g}", f"revocationS={revocation_s:g}"]
+    instance.file.write_text(json.dumps(settings))
+
+
+async def status_with(
+    instance: InstanceProcess, request_id: str, key: str = KEY
+) -> int:
+    """Send a look-up with a key and return its status."""
+    fields = {"X_Request_Id": request_id, "X_Credential": key}
+    address = instance.addresses["front"]
+    return (await send_request(address, "/look/x", **fields)).status
+
+
+@pytest.mark.parametrize("has_signal", [True, False])
+def test_key_that_is_withdrawn_behind_an_outage_stops_working_by_the_bound_in_the_file(
+    run_fleet: RunFleet, has_signal: bool
+) -> None:
+    async def work(fleet: ProcessFleet) -> None:
+        loop = asyncio.get_running_loop()
+        instance = fleet.instances[0]
+        for server in fleet.deployment.servers:
+            server.service_s = 0.02
+
+        async def change(revocation_s: float) -> None:
+            write_bound(fleet, instance, revocation_s)
+            if has_signal:
+                instance.send_signal(signal.SIGHUP)
+            # Longer than the file is left unread.
+            await asyncio.sleep(0.3 if has_signal else 1.5)
+
+        await change(LONG_S)
+        fleet.write_keys(2, [GUEST_KEY])
+        await asyncio.sleep(2.5)
+        await change(SHORT_S)
+        assert await status_with(instance, "before", GUEST_KEY) == 200
+        fleet.deployment.store.mode = Mode.BUSY
+        fleet.write_keys(3, [])
+        withdrawn_s = loop.time()
+        sent_s: dict[str, float] = {}
+        while loop.time() < withdrawn_s + SHORT_S + 1.0:
+            name = f"guest-{len(sent_s)}"
+            sent_s[name] = loop.time()
+            await status_with(instance, name, GUEST_KEY)
+            await asyncio.sleep(0.1)
+        late = [name for name, s in sent_s.items() if s > withdrawn_s + SHORT_S]
+        assert late
+        assert not [name for name in late if fleet.runs_of(name)]
+        assert await status_with(instance, "sound-1") == 503
+        await change(4 * LONG_S)
+        assert await status_with(instance, "sound-2") == 200
+        await change(SHORT_S)
+        assert await status_with(instance, "sound-3") == 503
+
+    run_fleet(work, 1)
+
+
+def test_share_of_the_bound_leaves_room_for_clock_error(deployed: PlatformSite) -> None:
+    set_revocation(deployed, 7.0)
+    age = deployed.instances[0].world.policies.config_age
+    assert age == InstanceAge(MAX_AGE_FRACTION * 7.0)
