Read the pause between two readings of the servers where it is used

Cause: the pause, a fraction of drainS, was computed when the watches began and kept with the copy of the servers; changed settings never reached it.

Change: the pause is a policy, read when a pause begins, and changed settings end the pauses that go on.

Tests that made a copy by hand no longer give it a pause; the one on passed-on readings asks for the same pauses from the policies.

--- a/src/rhubarbspan/edge/feed.py
+++ b/src/rhubarbspan/edge/feed.py
@@ -1,6 +1,7 @@
 """Follows the platform's store and applies what other instances read from it."""
 
 import asyncio
+import contextlib
 from collections.abc import Coroutine
 from dataclasses import dataclass
 
@@ -18,12 +19,10 @@
 from .failures import ERROR_DELAY_S, FailureLog, own_cancellation_only, run_on
 from .mirror import Mirror, apply_reading, read_anew
 from .pacing import (
-    INSTANCES_PAUSE_S,
     INSTANCES_WAIT_S,
     WATCH_WAIT_S,
     is_rewritten_since,
     pause_s,
-    servers_pause_s,
     watch_wait_s,
 )
 from .publisher import Publisher
@@ -95,11 +94,10 @@
 
     def start(self) -> None:
         """Start the watches."""
-        servers_s = servers_pause_s(self._publisher.settings.bounds)
         mirrors = [
-            Mirror(OPERATOR_PREFIX, WATCH_WAIT_S, 0.0),
-            Mirror(SERVER_PREFIX, WATCH_WAIT_S, servers_s),
-            Mirror(INSTANCE_PREFIX, INSTANCES_WAIT_S, INSTANCES_PAUSE_S),
+            Mirror(OPERATOR_PREFIX, WATCH_WAIT_S),
+            Mirror(SERVER_PREFIX, WATCH_WAIT_S),
+            Mirror(INSTANCE_PREFIX, INSTANCES_WAIT_S),
         ]
         for mirror in mirrors:
             mirror.may_read.set()
@@ -110,8 +108,13 @@
         self._spawn(run_on(self._publish_after_failures, task, self._failures))
 
     def set_settings(self, settings: PlatformSettings) -> None:
-        """Apply changed settings to what is published from now on."""
+        """Apply changed settings to what is published from now on.
+
+        A pause that may be longer than the policies now allow ends.
+        """
         self._publisher.settings = settings
+        for mirror in self._mirrors.values():
+            mirror.is_due.set()
 
     def set_access(self, access: StoreAccess) -> None:
         """Begin or stop to watch the store; a watch that is waiting is completed."""
@@ -242,7 +245,10 @@
                 case Reading():
                     delay_s = self._handle_reading(mirror, call, reading)
             if delay_s is not None:
-                await asyncio.sleep(delay_s)
+                mirror.is_due.clear()
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(delay_s):
+                        await mirror.is_due.wait()
 
     def _next_call(self, mirror: Mirror) -> _Call:
         world = self._ticker.world
--- a/src/rhubarbspan/edge/mirror.py
+++ b/src/rhubarbspan/edge/mirror.py
@@ -16,7 +16,6 @@
 
     Attributes:
         wait_s: How long a watch waits for a change.
-        pause_s: Pause between two calls of the store.
         era: Era of the store that the copy is of, or in which it must be read anew.
         revision: Revision of the store that the copy is at, 0 if it must be read anew.
         values: Values by key, all of them as of some revision.
@@ -34,13 +33,13 @@
             same time.
         is_just_written: Whether the reading that is being published shows that the
             operator has written its configuration.
+        is_due: Set to end a pause between two calls of the store.
         may_read: Set while this instance has to read: when it is a reader, or when the
             copy must be read anew.
     """
 
     prefix: str
     wait_s: float
-    pause_s: float
     era: int = 0
     revision: int = 0
     values: dict[str, bytes | None] = field(default_factory=dict)
@@ -54,6 +53,7 @@
     published_revision: int = 0
     is_in_step: bool = False
     is_just_written: bool = False
+    is_due: asyncio.Event = field(default_factory=asyncio.Event)
     may_read: asyncio.Event = field(default_factory=asyncio.Event)
 
 
--- a/src/rhubarbspan/edge/pacing.py
+++ b/src/rhubarbspan/edge/pacing.py
@@ -2,7 +2,7 @@
 
 import random
 
-from ..platform.records import OPERATOR_PREFIX, SERVER_PREFIX
+from ..platform.records import INSTANCE_PREFIX, OPERATOR_PREFIX, SERVER_PREFIX
 from ..platform.settings import Bounds
 from ..systems.store_eras import is_restored_lately, rewritten_s
 from ..world import World
@@ -68,6 +68,9 @@
 
 def pause_s(world: World, mirror: Mirror) -> float:
     """Return the pause until the next call of the store for a copy."""
-    if mirror.prefix == SERVER_PREFIX and world.is_two_level:
-        return mirror.pause_s * FORWARDED_PAUSE_FRACTION
-    return mirror.pause_s
+    if mirror.prefix == INSTANCE_PREFIX:
+        return INSTANCES_PAUSE_S
+    if mirror.prefix != SERVER_PREFIX:
+        return 0.0
+    fraction = FORWARDED_PAUSE_FRACTION if world.is_two_level else 1.0
+    return fraction * world.policies.servers_pause_s
--- a/src/rhubarbspan/policies.py
+++ b/src/rhubarbspan/policies.py
@@ -147,6 +147,7 @@
         cold_slack: Requests per second to a cold server that are allowed in addition.
         max_region_step: Fraction of the requests that may change the region in which
             they run from one window to the next, or 1 for no bound.
+        servers_pause_s: Pause between two readings of the servers.
         max_listing_gap_s: Longest time between two lists of servers while the store can
             be reached.
         serve_leaving_s: How long an instance that stops gracefully goes on serving.
@@ -173,6 +174,7 @@
     cold_overage: float = 1.0
     cold_slack: float = 0.0
     max_region_step: float = 1.0
+    servers_pause_s: float = 0.0
     max_listing_gap_s: float = float("inf")
     # The lifetime of a look-up answer, plus one second until peers know of the stop.
     serve_leaving_s: float = 4.0
--- a/tests/test_changed_settings.py
+++ b/tests/test_changed_settings.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import signal
+from collections.abc import Callable
 from dataclasses import replace
 
 import pytest
@@ -30,7 +31,9 @@
     read_reply,
     request_bytes,
     send_request,
+    server_record,
 )
+from rhubarbspan.standins.platform_server import PlatformServerStandIn
 from rhubarbspan.standins.platform_store import Mode
 from rhubarbspan.tick import run_tick
 from rhubarbspan.verdict import NotRun, Reason, Verdict
@@ -41,6 +44,7 @@
 NOW_S = 106.5
 LONG_S, SHORT_S = 10.0, 5.0
 GUEST_KEY = "secret-guest"
+SHORT_LEAVING_S = 0.6
 
 
 def make_aged_world(
@@ -181,11 +185,11 @@
     assert "max_config_age_s" not in world.configuration_state.snapshot.document
 
 
-def set_revocation(site: PlatformSite, revocation_s: float) -> None:
-    """Change the bound on withdrawn keys in the settings of the first instance."""
+def set_bounds(site: PlatformSite, **bounds: float) -> None:
+    """Change bounds in the settings of the first instance."""
     instance = site.instances[0]
-    bounds = replace(instance.settings.bounds, revocation_s=revocation_s)
-    instance.apply_settings(replace(instance.settings, bounds=bounds))
+    changed = replace(instance.settings.bounds, **bounds)
+    instance.apply_settings(replace(instance.settings, bounds=changed))
 
 
 def test_bound_that_changes_while_the_store_is_away_holds_on_open_connections(
@@ -203,10 +207,10 @@
         await send()
         await asyncio.sleep(2.5)
         for revocation_s in (2.0, 10.0, 1.0, 10.0):
-            set_revocation(deployed, revocation_s)
+            set_bounds(deployed, revocation_s=revocation_s)
             await send()
         deployed.store.mode = Mode.SERVING
-        set_revocation(deployed, 2.0)
+        set_bounds(deployed, revocation_s=2.0)
         await asyncio.sleep(1.0)
         await send()
         writer.close()
@@ -277,6 +281,40 @@
 
 
 def test_share_of_the_bound_leaves_room_for_clock_error(deployed: PlatformSite) -> None:
-    set_revocation(deployed, 7.0)
+    set_bounds(deployed, revocation_s=7.0)
     age = deployed.instances[0].world.policies.config_age
     assert age == InstanceAge(MAX_AGE_FRACTION * 7.0)
+
+
+# Orders reached leaving servers for as long as the pause of before allowed.
+def test_lowered_bound_on_leaving_servers_ends_the_pause_before_the_next_reading(
+    deployed: PlatformSite,
+) -> None:
+    world = deployed.instances[0].world
+
+    async def wait_until(condition: Callable[[], bool]) -> float:
+        begun_s = deployed.loop.time()
+        while not condition():
+            await asyncio.sleep(0.01)
+            assert deployed.loop.time() - begun_s < 5.0
+        return deployed.loop.time() - begun_s
+
+    async def lower_and_leave(server: PlatformServerStandIn) -> None:
+        row = world.servers.get(server.server_id)
+        assert row is not None
+        set_bounds(deployed, leaving_s=20.0)
+        # The pause begins once a change has been read.
+        key = f"servers/{server.server_id}"
+        deployed.store.put(key, server_record(server, sequence=2))
+        await wait_until(lambda: row.sequence == 2)
+        set_bounds(deployed, leaving_s=10.0)
+        set_bounds(deployed, leaving_s=SHORT_LEAVING_S)
+        leaving = server_record(server, state="draining", sequence=3)
+        deployed.store.put(key, leaving)
+        assert await wait_until(lambda: row.is_leaving) < SHORT_LEAVING_S
+
+    async def work() -> None:
+        for server in deployed.servers:
+            await lower_and_leave(server)
+
+    deployed.run(work())
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -226,7 +226,7 @@
             return self.time_s
 
     made = Feed(Ticker(), None, None)  # type: ignore[arg-type]
-    made._mirrors["servers/"] = Mirror("servers/", 1.0, 1.0)
+    made._mirrors["servers/"] = Mirror("servers/", 1.0)
     return made
 
 
--- a/tests/test_fuzz_entries.py
+++ b/tests/test_fuzz_entries.py
@@ -220,7 +220,7 @@
     ticker = Recorder(world)
     feed = Feed(ticker, None, PLATFORM)  # type: ignore[arg-type]
     for prefix, items in entries.items():
-        mirror = feed._mirrors[prefix] = Mirror(prefix, 1.0, 1.0)
+        mirror = feed._mirrors[prefix] = Mirror(prefix, 1.0)
         feed.apply_update(StoreUpdate(prefix, 0, 5, items, 1.0))
         assert mirror.revision == 5, "the feed has to read anew"
     assert not [name for name, _ in world.counters if name == "task_failures"]
--- a/tests/test_store_differences.py
+++ b/tests/test_store_differences.py
@@ -124,6 +124,7 @@
         async def work() -> None:
             store.is_idle = False
             store.steps = list(steps)
+            self.mirror.is_due = asyncio.Event()
             self.mirror.may_read = asyncio.Event()
             self.mirror.may_read.set()
             task = asyncio.create_task(self.feed._follow(self.mirror))
@@ -179,7 +180,7 @@
         ticker = _Ticker(make_world(single))
         feed = Feed(ticker, store, None)  # type: ignore[arg-type]
         feed._access = access
-        mirror = feed._mirrors[PREFIX] = Mirror(PREFIX, 1.0, 0.0)
+        mirror = feed._mirrors[PREFIX] = Mirror(PREFIX, 1.0)
         return _Reader(feed, mirror, ticker)
 
     return make
--- a/tests/test_store_restores.py
+++ b/tests/test_store_restores.py
@@ -5,6 +5,7 @@
 import dataclasses
 import json
 import time
+from dataclasses import replace
 from functools import partial
 
 import msgspec
@@ -45,8 +46,8 @@
 )
 from rhubarbspan.standins.platform_store import PAGE_ITEMS, Mode
 from rhubarbspan.standins.store import StoreStandIn
+from rhubarbspan.systems.config_age import config_age_s
 from rhubarbspan.systems.lookup import is_ready
-from rhubarbspan.systems.revisions import config_age_s
 from rhubarbspan.systems.store_eras import REWRITE_S
 from rhubarbspan.tick import run_tick
 from rhubarbspan.verdict import Failure
@@ -201,7 +202,7 @@
     """Return a feed that does not ask the store, and its copy in era 1."""
     ticker = _Ticker(make_world(single))
     feed = Feed(ticker, None, None)  # type: ignore[arg-type]
-    made = feed._mirrors["servers/"] = Mirror("servers/", 1.0, 1.0, era=1)
+    made = feed._mirrors["servers/"] = Mirror("servers/", 1.0, era=1)
     feed.apply_update(_update(1, 0, 50, b"1"))
     assert (made.revision, made.may_read.is_set()) == (50, False)
     return feed, made
@@ -245,7 +246,7 @@
 ) -> None:
     feed, _ = mirror
     world = feed._ticker.world
-    copy = Mirror("op/", 1.6, 0.0, is_in_step=True)
+    copy = Mirror("op/", 1.6, is_in_step=True)
     assert watch_wait_s(world, copy, START_S, False) == 1.6
     waits_s = [watch_wait_s(world, copy, START_S, True) for _ in range(200)]
     assert 0 <= min(waits_s) < 0.4
@@ -261,11 +262,12 @@
 ) -> None:
     feed, copy = mirror
     world = feed._ticker.world
-    assert pause_s(world, copy) == copy.pause_s
+    world.policies = replace(world.policies, servers_pause_s=1.0)
+    assert pause_s(world, copy) == 1.0
     world.is_two_level = True
-    assert pause_s(world, copy) == 0.5 * copy.pause_s
-    others = Mirror("rhubarbspan/instances/", 5.0, 1.0)
-    assert pause_s(world, others) == others.pause_s
+    assert pause_s(world, copy) == 0.5
+    others = Mirror("rhubarbspan/instances/", 5.0)
+    assert pause_s(world, others) == 1.0
 
 
 def test_message_without_an_era_is_of_era_0() -> None:
@@ -350,7 +352,7 @@
     ticker = _Ticker(world)
     store = _FailingStore(ticker, n_failures=3)
     feed = Feed(ticker, store, None)  # type: ignore[arg-type]
-    copy = Mirror("op/", 1.0, 0.0, era=1)
+    copy = Mirror("op/", 1.0, era=1)
     copy.may_read.set()
 
     async def read() -> None:
