Take the regions of data centres from the instance's own settings

Servers and instances of a data centre that the settings file added, or moved to another region, stayed in no region or the old one until the operator's next revision, and requests bound to the new region were refused.

Cause: the regions were written into the translated document and from there into rows, so that they changed only with the revision; peers delivered those of their own files.

Change: the regions are a policy. A system puts them in the place of the document's when either changes, and into the rows of servers and instances.

test_load_counts measures a fleet whose document names the regions, with policies made from settings that name others; its policies now leave them to the document.

Before: test_changed_regions_hold_without_a_revision_and_whatever_a_peer_delivers failed (with the system taken out: region '' where 's' is asked for). After: passes.

--- a/src/rhubarbspan/edge/instance.py
+++ b/src/rhubarbspan/edge/instance.py
@@ -94,6 +94,7 @@
     bounds = settings.bounds
     policies = Policies(
         documents=TranslatedRules(),
+        regions=settings.regions,
         config_age=InstanceAge(MAX_AGE_FRACTION * bounds.revocation_s),
         limits=DemandShares(),
         choice=ObjectPlacement(),
--- a/src/rhubarbspan/policies.py
+++ b/src/rhubarbspan/policies.py
@@ -1,5 +1,6 @@
 """Policies for sharing limits between instances and for choosing backend servers."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
 from .document_rules import OWN_RULES, DocumentRules
@@ -155,6 +156,7 @@
             process is killed soon after.
         documents: The rules for the configuration's document.
         config_age: How old the configuration may be by which a request is served.
+        regions: Region of each data centre, or None where the document says it.
     """
 
     limits: LimitPolicy = PooledShares()
@@ -181,6 +183,7 @@
     finish_leaving_s: float = float("inf")
     documents: DocumentRules = OWN_RULES
     config_age: ConfigAge = RouteAge()
+    regions: Mapping[str, str] | None = None
 
 
 def with_grace_period(policies: Policies, grace_s: float) -> Policies:
--- a/src/rhubarbspan/tick.py
+++ b/src/rhubarbspan/tick.py
@@ -19,6 +19,7 @@
 from .systems.outcomes import handle_ended_attempts
 from .systems.peer_links import renew_peer_links
 from .systems.quarantine import update_suspects
+from .systems.regions import apply_regions
 from .systems.relaying import relay_heartbeats
 from .systems.revisions import apply_revisions
 from .systems.server_handover import hand_over_servers
@@ -33,6 +34,7 @@
 SYSTEMS: tuple[System, ...] = (
     track_store_era,
     apply_revisions,
+    apply_regions,
     track_peers,
     relay_heartbeats,
     exchange_summaries,
--- a/tests/test_changed_settings.py
+++ b/tests/test_changed_settings.py
@@ -18,9 +18,13 @@
     AttemptEnded,
     ConfigurationReceived,
     ConnectFailed,
+    PeerListing,
     PeerMessageReceived,
+    PeersListed,
     PoliciesChanged,
     RequestArrived,
+    ServerListing,
+    ServersListed,
     Shed,
     StopRequested,
 )
@@ -318,3 +322,40 @@
             await lower_and_leave(server)
 
     deployed.run(work())
+
+
+# Servers of a data centre that was added to the settings were in no region, and those
+# that moved in the old one, until the operator's next revision.
+def test_changed_regions_hold_without_a_revision_and_whatever_a_peer_delivers(
+    single: Document,
+) -> None:
+    single["route open"]["regions"] = "new"
+    policies = Policies(regions={"x": "r"})
+    world = build_world(single, policies=policies)
+    added = ServersListed("shop", [ServerListing("s-1", "shop", "127.0.0.1:7", "y")])
+    run_tick(world, NOW_S, [added, PeersListed([PeerListing("y-1", "", "", "y")])])
+    assert region_of_server(world) == ""
+    for number, region in enumerate(("s", "new")):
+        regions = {"x": "r", "y": region}
+        world.policies = replace(world.policies, regions=regions)
+        run_tick(world, NOW_S + 0.1 + number, [PoliciesChanged()])
+        assert region_of_server(world) == region
+        peer = world.peers.get("y-1")
+        assert peer is not None
+        assert peer.region == region
+        assert world.configuration.revision == 1
+    other = {**single, "data_centre y": {"region": "s"}}
+    delivery = ConfigurationDelivery("x-2", 1, Snapshot(2, other, 1), [])
+    run_tick(world, NOW_S + 2.0, [PeerMessageReceived(delivery)])
+    assert world.configuration.revision == 2
+    assert region_of_server(world) == "new"
+    assert verdict_of(ask(world, NOW_S + 2.1, 1, "/open/a"), 1) is None
+
+
+def region_of_server(world: World) -> str:
+    """Return the region of the server in the added data centre."""
+    row = world.servers.get("s-1")
+    assert row is not None
+    assert row in world.servers.in_region("shop", row.region)
+    assert world.configuration.region_of("y") in (row.region, "")
+    return row.region
--- a/tests/test_load_counts.py
+++ b/tests/test_load_counts.py
@@ -381,7 +381,10 @@
 def measure_unequal_fleet() -> tuple[float, float, float]:
     """Return the fractions refused without a server, of busy slots, and rejected."""
     settings = PlatformSettings("x", "a-1", "a", {"a-1": "a"}, "", "", "", "", "")
-    policies = replace(choose_policies(settings), max_region_step=MAX_REGION_STEP)
+    # The regions of the fleet are those of its document.
+    policies = replace(
+        choose_policies(settings), max_region_step=MAX_REGION_STEP, regions=None
+    )
     figures = measure_scarcity(UNEQUAL_FLEET, policies=policies)
     return figures.no_server, figures.busy, figures.rejected
 
