Compare the bound on retries also when a retry is made

Cause: the budget is a copy that outlives the change.

Change: the budget has a module of its own, and is cut to the bound in force whenever a retry is taken.

Before: test_lowered_bound_on_retries_holds_for_those_saved_before failed (with the cut taken out: a second attempt is started). After: passes.

--- a/src/rhubarbspan/systems/intake.py
+++ b/src/rhubarbspan/systems/intake.py
@@ -12,9 +12,9 @@
 from ..world import World
 from .config_age import config_age_s, is_too_old
 from .departure import leaving_retry_s, may_finish
-from .fleet_layout import known_seats
 from .quarantine import is_quarantined
 from .queueing import longest_lane, record_pool_arrivals
+from .retry_budget import add_to_budget
 from .routing import (
     choose_split_pool,
     priority_and_regions,
@@ -62,13 +62,6 @@
     return effects
 
 
-def _max_retry_budget(world: World) -> float:
-    n_max_retries = world.policies.n_max_retries
-    if not world.policies.is_retry_budget_shared:
-        return n_max_retries
-    return max(1.0, n_max_retries / (1 + len(known_seats(world))))
-
-
 def may_be_decided_early(world: World, path: str, host: str) -> bool:
     """Return whether a request may be decided before earlier ones are answered.
 
@@ -183,7 +176,4 @@
     world.deadlines.arm(row.deadline_s, Timer.REQUEST, str(row.request_id))
     queue = world.queues.queue_of(route.pool)
     record_pool_arrivals(queue, now_s, 1)
-    queue.retry_budget = min(
-        _max_retry_budget(world),
-        queue.retry_budget + world.policies.retries_per_request,
-    )
+    add_to_budget(world, queue)
--- a/src/rhubarbspan/systems/outcomes.py
+++ b/src/rhubarbspan/systems/outcomes.py
@@ -30,6 +30,7 @@
     refute_crashes,
 )
 from .queueing import rejoin_queue
+from .retry_budget import take_retry
 from .serving import record_service
 from .slots import record_shed
 
@@ -177,10 +178,9 @@
     world.count("shed", row.route.pool)
     if world.policies.do_sheds_use_retry_budget:
         queue = world.queues.queue_of(row.route.pool)
-        if queue.retry_budget < 1:
+        if not take_retry(world, queue):
             world.count("retries_refused", row.route.pool)
             return fail_request(world, now_s, row, row.last_verdict)
-        queue.retry_budget -= 1
         row.tried.add(row.server_id)
     rejoin_queue(world, now_s, row)
     return []
@@ -253,10 +253,9 @@
     n_failed = row.n_attempts - row.n_shed
     cannot_retry = n_failed >= row.route.n_max_attempts or now_s >= row.deadline_s
     cannot_retry |= is_too_old(world, row.route, row.arrived_s)
-    if cannot_retry or queue.retry_budget < 1:
+    if cannot_retry or not take_retry(world, queue):
         world.count("retries_refused", row.route.pool)
         return fail_request(world, now_s, row, verdict)
-    queue.retry_budget -= 1
     world.count("retries", row.route.pool)
     row.last_verdict = verdict
     rejoin_queue(world, now_s, row)
--- a/tests/test_changed_settings.py
+++ b/tests/test_changed_settings.py
@@ -359,3 +359,15 @@
     assert row in world.servers.in_region("shop", row.region)
     assert world.configuration.region_of("y") in (row.region, "")
     return row.region
+
+
+# Retries that were saved under the old bound could all be made under the new one.
+def test_lowered_bound_on_retries_holds_for_those_saved_before(
+    single: Document,
+) -> None:
+    policies = Policies(n_max_retries=20.0, retries_per_request=20.0)
+    world = build_world(single, n_servers=2, policies=policies)
+    ask(world, NOW_S, 1)
+    world.policies = replace(world.policies, n_max_retries=0.0)
+    effects = run_tick(world, NOW_S + 0.1, [AttemptEnded(1, 1, ConnectFailed())])
+    assert verdict_of(effects, 1) == NotRun(Reason.CONNECT_FAILED)
