Divide limits anew at once when the settings change

The burst of an account that an instance holds, and the isolated share, followed a changed quotaSlack, quotaOverage or quotaWindowS only with the next heartbeat.

Cause: they are derived when the configuration or the demand changes.

Change: changed policies divide limits too.

Before: test_changed_slack_of_limits_is_divided_at_once failed (bursts of 100 where 50, 80 and 53 are asked for). After: passes.

--- a/src/rhubarbspan/systems/limit_sharing.py
+++ b/src/rhubarbspan/systems/limit_sharing.py
@@ -8,7 +8,7 @@
 """
 
 from ..effects import Effects
-from ..inputs import Inbox, PeerMessageReceived, PeersListed, Timer
+from ..inputs import Inbox, PeerMessageReceived, PeersListed, PoliciesChanged, Timer
 from ..peer_messages import (
     DelegationGrant,
     DelegationRequest,
@@ -38,7 +38,7 @@
 
 def share_limits(world: World, now_s: float, inbox: Inbox) -> Effects:
     """Update buckets to the configuration and exchange shares and tokens with peers."""
-    if world.is_configuration_new:
+    if world.is_configuration_new or inbox.of(PoliciesChanged):
         update_unconfirmed_seats(world)
         sync_buckets(world, now_s)
         follow_limits(world)
--- a/tests/test_changed_settings.py
+++ b/tests/test_changed_settings.py
@@ -29,7 +29,7 @@
     StopRequested,
 )
 from rhubarbspan.peer_messages import ConfigurationDelivery, ConfigurationRequest
-from rhubarbspan.policies import InstanceAge, Policies
+from rhubarbspan.policies import DemandShares, InstanceAge, Policies
 from rhubarbspan.standins.platform_deployment import (
     KEY,
     read_reply,
@@ -371,3 +371,22 @@
     world.policies = replace(world.policies, n_max_retries=0.0)
     effects = run_tick(world, NOW_S + 0.1, [AttemptEnded(1, 1, ConnectFailed())])
     assert verdict_of(effects, 1) == NotRun(Reason.CONNECT_FAILED)
+
+
+# An account's burst followed a changed bound only with the next heartbeat.
+def test_changed_slack_of_limits_is_divided_at_once(single: Document) -> None:
+    policies = Policies(
+        limits=DemandShares(), burst_slack=4.0, limit_window_s=5.0, limit_overage=0.1
+    )
+    single["client_account ana"] |= {"rate_per_s": "100", "burst": "100"}
+    world = build_world(single, policies=policies)
+    run_tick(world, NOW_S, [])
+    world.demand_fractions["ana"] = 0.5
+    bursts = []
+    for number, slack in enumerate((0.0, 40.0, 4.0)):
+        world.policies = replace(policies, burst_slack=slack, limit_overage=0.0)
+        run_tick(world, NOW_S + 0.01 * (number + 1), [PoliciesChanged()])
+        bucket = world.buckets.get("ana")
+        assert bucket is not None
+        bursts.append(bucket.own_burst)
+    assert bursts == pytest.approx([50.0, 80.0, 53.0])
