Notice changes of the settings file by its text

A change without a signal was never applied if it came while the process started, between the reading of the file and the first look at its time, or if it left the time as it was, as two changes within the resolution of the time do.

Cause: only the time of change was compared, with that of the first look.

Change: the text is compared, and the file is read once more after the start.

Before: test_change_of_the_file_is_noticed_by_its_text failed for a change during the start and for one that left the time (both, run with the module of before). After: passes.

--- a/src/rhubarbspan/edge/instance.py
+++ b/src/rhubarbspan/edge/instance.py
@@ -343,11 +343,15 @@
 
 
 def _load_settings(path: str) -> PlatformSettings | Failure:
+    text = _read_file(path)
+    return text if isinstance(text, Failure) else read_platform_settings(text, path)
+
+
+def _read_file(path: str) -> str | Failure:
     try:
-        text = Path(path).read_text()
+        return Path(path).read_text()
     except (OSError, UnicodeDecodeError) as error:
         return Failure("settings", f"{path}: {error}")
-    return read_platform_settings(text, path)
 
 
 async def _stop_on_signal(path: str, instance: Instance, stop: StopSignal) -> None:
@@ -375,16 +379,22 @@
 async def _reload_on_change(
     path: str, instance: Instance, reload: asyncio.Event
 ) -> None:
-    modified_ns = _modified_ns(path)
+    """Apply the file when its text differs from what was read last.
+
+    Its time of change may be the same after two changes. It is read once more after
+    the start, in which it may have changed.
+    """
+    text: str | Failure = ""
     current_settings = instance.settings
     while True:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(SETTINGS_POLL_INTERVAL_S):
                 await reload.wait()
-        if not reload.is_set() and _modified_ns(path) == modified_ns:
+        new_text = _read_file(path)
+        if not reload.is_set() and new_text == text:
             continue
         reload.clear()
-        modified_ns = _modified_ns(path)
+        text = new_text
         new_settings = _load_settings(path)
         if isinstance(new_settings, Failure):
             LOG.warning("settings are not taken up: {}", new_settings.reason)
@@ -393,11 +403,4 @@
             continue
         current_settings = new_settings
         instance.apply_settings(current_settings)
-        LOG.info("changed settings are in force; addresses hold until the next start")
-
-
-def _modified_ns(path: str) -> int:
-    try:
-        return os.stat(path).st_mtime_ns
-    except OSError:
-        return 0
+        LOG.info("changed settings are in force")
--- a/tests/test_changed_settings.py
+++ b/tests/test_changed_settings.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import json
+import os
 import signal
 from collections.abc import Callable
 from dataclasses import replace
+from pathlib import Path
 
 import pytest
 
@@ -12,6 +14,7 @@
 from platform_site import PlatformSite
 from process_fleet import InstanceProcess, ProcessFleet
 from rhubarbspan.document import Document, Snapshot
+from rhubarbspan.edge import instance as instance_module
 from rhubarbspan.edge.instance import MAX_AGE_FRACTION
 from rhubarbspan.effects import Effects, FinishRequest, SendPeerMessage
 from rhubarbspan.inputs import (
@@ -29,6 +32,7 @@
     StopRequested,
 )
 from rhubarbspan.peer_messages import ConfigurationDelivery, ConfigurationRequest
+from rhubarbspan.platform.settings import PlatformSettings
 from rhubarbspan.policies import DemandShares, InstanceAge, Policies
 from rhubarbspan.standins.platform_deployment import (
     KEY,
@@ -390,3 +394,61 @@
         assert bucket is not None
         bursts.append(bucket.own_burst)
     assert bursts == pytest.approx([50.0, 80.0, 53.0])
+
+
+# Changes that left the file's time as it was, or came while the process started, were
+# never applied.
+@pytest.mark.parametrize("has_changed_during_the_start", [True, False])
+def test_change_of_the_file_is_noticed_by_its_text(
+    deployed: PlatformSite,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    has_changed_during_the_start: bool,
+) -> None:
+    instance = deployed.instances[0]
+    file = tmp_path / "settings.yaml"
+    monkeypatch.setattr(instance_module, "SETTINGS_POLL_INTERVAL_S", 0.02)
+
+    def write(revocation_s: float) -> None:
+        file.write_text(settings_text(instance.settings, revocation_s))
+        os.utime(file, ns=(1, 1))
+
+    async def work() -> list[float]:
+        if not has_changed_during_the_start:
+            write(instance.settings.bounds.revocation_s)
+        seen = []
+        if has_changed_during_the_start:
+            write(7.0)
+        watch = instance_module._watch_settings(str(file), instance, asyncio.Event())
+        watcher = asyncio.create_task(watch)
+        for revocation_s in (7.0, 8.0, 7.0):
+            if seen or not has_changed_during_the_start:
+                write(revocation_s)
+            await asyncio.sleep(0.3)
+            seen.append(instance.settings.bounds.revocation_s)
+        watcher.cancel()
+        return seen
+
+    assert deployed.run(work()) == [7.0, 8.0, 7.0]
+
+
+def settings_text(settings: PlatformSettings, revocation_s: float) -> str:
+    """Return the settings file of an instance, with a bound on withdrawn keys."""
+    host, _, peer_port = settings.peer_listen.rpartition(":")
+    return json.dumps(
+        {
+            "nodeName": settings.name,
+            "zone": settings.data_centre,
+            "region": settings.region,
+            "zones": settings.regions,
+            "ipAddress": host,
+            "listenAddresses": {
+                "front": settings.listen,
+                "ready": settings.ready_listen,
+                "directory": settings.lookup_listen,
+            },
+            "internalPortRange": [int(peer_port), int(peer_port)],
+            "bounds": [f"revocationS={revocation_s}"],
+            "platform": {"address": settings.store},
+        }
+    )
