Apply changed memory and lease figures to the store's client and the own record

The bound on responses of the store stayed a part of the memory that the machine had at the start, and a raised shortest lease had new leases refused by the store for as long as the process ran.

Cause: both were copied at the start.

Change: both follow the settings. What holds from the next start only is named in a warning. A test walks over all fields of the settings, up and down, while the store is there and while it turns the instance away, and compares what the instance has derived with what one derives that starts with these settings; a new field has to be listed there.

Before: the walk failed at lease_min_s without the first line, and at memory_bytes with the bound set at the start only. After: passes.

--- a/src/rhubarbspan/edge/instance.py
+++ b/src/rhubarbspan/edge/instance.py
@@ -31,7 +31,12 @@
     WriteClaim,
 )
 from ..inputs import PoliciesChanged, StopRequested
-from ..platform.settings import Bounds, PlatformSettings, read_platform_settings
+from ..platform.settings import (
+    START_FIELDS,
+    Bounds,
+    PlatformSettings,
+    read_platform_settings,
+)
 from ..platform.store import PlatformStore
 from ..policies import (
     GRACE_PERIOD_MARGIN_S,
@@ -169,7 +174,6 @@
         policies = choose_policies(settings)
         seed = int.from_bytes(os.urandom(8))
         self.world = create_world(identity, clock(), policies, seed)
-        self._bound_memory()
         self.ticker = Ticker(self.world, clock)
         self.stopped = asyncio.Event()
         transfers = Transfers()
@@ -177,16 +181,17 @@
         self._upstream = Upstream(self.ticker, transfers)
         self._peers = PeerTransport(self.ticker)
         self._lookups = LookupServer(self.ticker, lookup_lifetime_s(settings.bounds))
-        max_body_bytes = int(settings.memory_bytes * MEMORY_FRACTION)
-        self._store = PlatformStore(settings.store, max_body_bytes)
+        self._store = PlatformStore(settings.store)
         # Watches the store for configuration and for registrations.
         self._feed = Feed(self.ticker, self._store, settings)
         failures = FailureLog(self.world.count, clock)
         self._registration = Registration(self._store, settings, failures)
+        self._bound_memory()
 
     def _bound_memory(self) -> None:
-        """Set the budget for what is held for others, and the bound on connections."""
+        """Bound what is held for others, connections and responses of the store."""
         settings, memory = self.settings, self.world.memory
+        self._store.max_body_bytes = int(settings.memory_bytes * MEMORY_FRACTION)
         memory.limit_bytes = settings.held_bytes or budget_bytes(settings.memory_bytes)
         n_descriptors = usable_descriptors(settings.n_descriptors)
         memory.n_max_connections = max_connections(settings.memory_bytes, n_descriptors)
@@ -223,22 +228,17 @@
 
         Changed bounds apply to all later decisions, also on requests that wait.
         """
-        current = self.settings
-        settings = replace(
-            settings,
-            name=current.name,
-            data_centre=current.data_centre,
-            region=current.region,
-            listen=current.listen,
-            ready_listen=current.ready_listen,
-            lookup_listen=current.lookup_listen,
-            peer_listen=current.peer_listen,
-            store=current.store,
-        )
+        kept = {name: getattr(self.settings, name) for name in START_FIELDS}
+        differing = [n for n, value in kept.items() if getattr(settings, n) != value]
+        if differing:
+            names = "; ".join(START_FIELDS[name] for name in differing)
+            LOG.warning("changed settings hold from the next start on: {}", names)
+        settings = replace(settings, **kept)
         self.settings = settings
         self.world.policies = choose_policies(settings)
         self._bound_memory()
         self._feed.set_settings(settings)
+        self._registration.set_settings(settings)
         self._lookups.set_lifetime(lookup_lifetime_s(settings.bounds))
         self.ticker.inputs.on_next(PoliciesChanged())
 
--- a/src/rhubarbspan/edge/registration.py
+++ b/src/rhubarbspan/edge/registration.py
@@ -57,6 +57,10 @@
         self._store.eras.risen.subscribe(on_next=lambda _: self._has_new_era.set())
         self._task = asyncio.create_task(self._run())
 
+    def set_settings(self, settings: PlatformSettings) -> None:
+        """Apply changed settings to leases and records that are written from now on."""
+        self._settings = settings
+
     async def stop(self) -> None:
         """Stop the task and end the lease, which removes the record."""
         if self._task is not None:
--- a/src/rhubarbspan/platform/settings.py
+++ b/src/rhubarbspan/platform/settings.py
@@ -57,6 +57,18 @@
     limit_slack: float = 20.0
 
 
+# Name in the settings file of each field of PlatformSettings that is read at the start
+# of a process only.
+START_FIELDS = {
+    "name": "nodeName",
+    "data_centre": "zone",
+    "region": "region",
+    "listen": "listenAddresses.front",
+    "ready_listen": "listenAddresses.ready",
+    "lookup_listen": "listenAddresses.directory",
+    "peer_listen": "ipAddress, internalPortRange",
+    "store": "platform.address",
+}
 # Field of Bounds for each name in the settings file.
 BOUND_FIELDS = {
     "drainS": "leaving_s",
--- a/src/rhubarbspan/platform/store.py
+++ b/src/rhubarbspan/platform/store.py
@@ -145,14 +145,15 @@
     """HTTP client of the platform's store.
 
     Attributes:
+        max_body_bytes: Longest response that is read, all pages of a range together.
         eras: Eras of the responses; those of any but the newest one are failures.
     """
 
-    __slots__ = ("_base_url", "_session", "_max_body_bytes", "eras")
+    __slots__ = ("_base_url", "_session", "max_body_bytes", "eras")
 
     def __init__(self, address: str, max_body_bytes: int = MAX_BODY_BYTES) -> None:
         self._base_url = f"http://{address}/api"
-        self._max_body_bytes = max_body_bytes
+        self.max_body_bytes = max_body_bytes
         connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=15)
         self._session = open_session(connector)
         self.eras = Eras()
@@ -194,8 +195,8 @@
             if response.era != first_era:
                 return None
             n_bytes += len(response.body)
-            if n_bytes > self._max_body_bytes:
-                text = f"kv-range: pages longer than {self._max_body_bytes} bytes"
+            if n_bytes > self.max_body_bytes:
+                text = f"kv-range: pages longer than {self.max_body_bytes} bytes"
                 return Failure(STORE_GARBAGE, text)
             page = _decode(response.body, _Range)
             if isinstance(page, Failure):
@@ -322,7 +323,7 @@
                 if response.status != HTTP_OK:
                     await skip_body(response)
                     return _check_status(response.status, path)
-                body = await read_body(response, self._max_body_bytes)
+                body = await read_body(response, self.max_body_bytes)
                 if isinstance(body, Failure):
                     return Failure(body.code, f"{self._base_url}/{path}: {body.reason}")
                 if era < self.eras.newest:
--- a/tests/test_changed_settings.py
+++ b/tests/test_changed_settings.py
@@ -5,9 +5,10 @@
 import os
 import signal
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import fields, replace
 from pathlib import Path
 
+import logbook
 import pytest
 
 from conftest import RunFleet, build_world
@@ -15,7 +16,7 @@
 from process_fleet import InstanceProcess, ProcessFleet
 from rhubarbspan.document import Document, Snapshot
 from rhubarbspan.edge import instance as instance_module
-from rhubarbspan.edge.instance import MAX_AGE_FRACTION
+from rhubarbspan.edge.instance import MAX_AGE_FRACTION, Instance
 from rhubarbspan.effects import Effects, FinishRequest, SendPeerMessage
 from rhubarbspan.inputs import (
     AttemptEnded,
@@ -32,7 +33,7 @@
     StopRequested,
 )
 from rhubarbspan.peer_messages import ConfigurationDelivery, ConfigurationRequest
-from rhubarbspan.platform.settings import PlatformSettings
+from rhubarbspan.platform.settings import START_FIELDS, Bounds, PlatformSettings
 from rhubarbspan.policies import DemandShares, InstanceAge, Policies
 from rhubarbspan.standins.platform_deployment import (
     KEY,
@@ -396,6 +397,109 @@
     assert bursts == pytest.approx([50.0, 80.0, 53.0])
 
 
+# Two values of each field of the settings that holds at once when it changes.
+CHANGES: dict[str, tuple[object, object]] = {
+    "regions": ({"a-1": "a"}, {"a-1": "a", "b-1": "b", "c-1": "c"}),
+    "lease_min_s": (7.0, 20.0),
+    "memory_bytes": (300 << 20, 900 << 20),
+    "n_descriptors": (1_000, 4_000),
+    "held_bytes": (1 << 20, 9 << 20),
+}
+CHANGED_BOUNDS: dict[str, tuple[float, float]] = {
+    "leaving_s": (1.0, 20.0),
+    "grace_s": (3.0, 20.0),
+    "revocation_s": (2.0, 20.0),
+    "lookup_lifetime_s": (0.6, 1.1),
+    "retry_ratio": (0.0, 0.9),
+    "retry_slack": (0.0, 200.0),
+    "cold_overage": (1.0, 3.0),
+    "cold_slack": (0.0, 30.0),
+    "region_step": (0.01, 0.9),
+    "limit_window_s": (1.0, 20.0),
+    "limit_overage": (0.0, 0.9),
+    "limit_slack": (0.0, 90.0),
+}
+# Fields that nothing in the product depends on.
+WITHOUT_EFFECT = {"report_interval_s", "evacuation_s", "address_reuse_s"}
+
+
+def figures_in_force(instance: Instance) -> list[object]:
+    """Return all that an instance has derived from its settings."""
+    world, memory = instance.world, instance.world.memory
+    return [
+        world.policies,
+        memory.limit_bytes,
+        memory.n_max_connections,
+        instance._store.max_body_bytes,
+        instance._lookups._lifetime_s,
+        instance._registration._settings.lease_min_s,
+        instance._feed._publisher.settings.regions,
+    ]
+
+
+async def figures_after_start(settings: PlatformSettings) -> list[object]:
+    """Return the figures of an instance that starts with these settings."""
+    started = Instance(settings)
+    await started._store.close()
+    return figures_in_force(started)
+
+
+def test_each_field_of_the_settings_is_listed() -> None:
+    names = {field.name for field in fields(PlatformSettings)} - {"bounds"}
+    names |= {field.name for field in fields(Bounds)}
+    listed = [*CHANGES, *CHANGED_BOUNDS, *START_FIELDS, *WITHOUT_EFFECT]
+    assert sorted(listed) == sorted(names)
+
+
+@pytest.mark.parametrize("mode", [Mode.SERVING, Mode.BUSY])
+def test_changed_settings_are_in_force_as_after_a_start_with_them(
+    deployed: PlatformSite, mode: Mode
+) -> None:
+    instance = deployed.instances[0]
+    # With a longer grace period it does not bound the look-up answers.
+    bounds = replace(instance.settings.bounds, grace_s=9.0)
+    before = replace(instance.settings, bounds=bounds)
+
+    def changed(name: str, value: object) -> PlatformSettings:
+        if name in CHANGED_BOUNDS:
+            return replace(before, bounds=replace(before.bounds, **{name: value}))
+        return replace(before, **{name: value})
+
+    async def work() -> None:
+        for name, (low, high) in [*CHANGES.items(), *CHANGED_BOUNDS.items()]:
+            seen = []
+            for value in (low, high, low, low, high):
+                settings = changed(name, value)
+                instance.apply_settings(settings)
+                seen.append(figures_in_force(instance))
+                assert seen[-1] == await figures_after_start(settings), name
+            assert seen[0] == seen[2] == seen[3], name
+            assert seen[0] != seen[1] == seen[4], name
+            instance.apply_settings(before)
+        assert figures_in_force(instance) == await figures_after_start(before)
+
+    deployed.store.mode = mode
+    deployed.run(work())
+    deployed.store.mode = Mode.SERVING
+    assert deployed.send("/look/x").status == 200
+
+
+def test_fields_that_hold_from_the_next_start_are_named_in_the_log(
+    deployed: PlatformSite,
+) -> None:
+    instance = deployed.instances[0]
+    before = instance.settings
+    with logbook.TestHandler() as handler:
+        instance.apply_settings(replace(before, store="127.0.0.1:9", region="c"))
+        assert handler.has_warning(
+            "changed settings hold from the next start on: region; platform.address"
+        )
+        n_lines = len(handler.records)
+        instance.apply_settings(before)
+        assert len(handler.records) == n_lines
+    assert instance.settings == before
+
+
 # Changes that left the file's time as it was, or came while the process started, were
 # never applied.
 @pytest.mark.parametrize("has_changed_during_the_start", [True, False])
