Let the first of those that take over reading the store read on

Cause: when the reader, the backup and the next instance of a data centre are cut off from the store, the others begin to read together, hear each other's readings, and all stop, each relying on the others' promises.

Change: a reading tells whose it is, and an instance that reads as it has promised relies on none that comes after it in the order of names.

Ruled out: the pause between readings (0.54 s here) and the way of the message.

Before: test_of_instances_that_take_over_together_the_first_reads_on failed, with the order taken out. After: passes.

--- a/src/rhubarbspan/peer_messages.py
+++ b/src/rhubarbspan/peer_messages.py
@@ -471,6 +471,7 @@
             the sender, the revision of the first; ``after`` is then ``revision``, so
             that earlier versions that are behind read the store themselves.
         digest: Digest of the second of the two copies.
+        seat: Seat of the reader. Earlier versions do not send it.
     """
 
     prefix: str
@@ -482,6 +483,7 @@
     era: int = 0
     differs_from: int = 0
     digest: int = 0
+    seat: str = ""
 
 
 @dataclass(slots=True)
--- a/src/rhubarbspan/systems/store_readers.py
+++ b/src/rhubarbspan/systems/store_readers.py
@@ -4,7 +4,8 @@
 and the next one reads beside it what the store calls stale: that costs a tenth and is
 seldom behind, so that the loss of the reader leaves no gap. An instance that hears of
 no reading for longer than the readers promised reads for itself, those that come first
-in the order of names first.
+in the order of names first. Those that begin together hear each other at once: the
+first of them reads on, and only the others rely on it.
 """
 
 from ..effects import (
@@ -33,6 +34,9 @@
     for read in inbox.of(StoreRead):
         if world.store_access is StoreAccess.FOLLOWER or not is_two_level(world):
             continue
+        if not read.update.is_stale:
+            due_s = now_s + min(read.update.next_within_s, MAX_PROMISE_S)
+            world.own_reads_due_s[read.update.prefix] = due_s
         # A stale reading without changes tells nothing.
         if read.update.items or not read.update.is_stale:
             effects += _pass_on(world, read.update)
@@ -45,7 +49,7 @@
                     # no other comes.
                     world.count("store_updates_of_old_eras")
                     continue
-                if not update.is_stale:
+                if not update.is_stale and not _comes_after(world, now_s, update):
                     due_s = now_s + min(update.next_within_s, MAX_PROMISE_S)
                     world.store_updates_due_s[update.prefix] = due_s
                 effects.append(ApplyStoreUpdate(update))
@@ -57,7 +61,21 @@
     return effects
 
 
+def _comes_after(world: World, now_s: float, update: StoreUpdate) -> bool:
+    """Return whether a reading is of an instance that is to rely on this one.
+
+    That is so while this one reads as it has promised. If both relied on each other,
+    nobody would read until both promises were broken.
+    """
+    is_reading = (
+        world.store_access is StoreAccess.READER
+        and now_s <= world.own_reads_due_s.get(update.prefix, now_s - 1.0)
+    )
+    return is_reading and update.seat > world.identity.seat
+
+
 def _pass_on(world: World, update: StoreUpdate) -> Effects:
+    update.seat = world.identity.seat
     return [
         SendPeerMessage(row.seat, update)
         for row in local_peers(world)
--- a/src/rhubarbspan/world.py
+++ b/src/rhubarbspan/world.py
@@ -186,6 +186,7 @@
         store_access: How this instance learns what the store holds.
         store_updates_due_s: By prefix of the store, when the next reading of another
             instance is due.
+        own_reads_due_s: By prefix of the store, when the own next reading is due.
     """
 
     identity: Identity
@@ -238,6 +239,7 @@
     is_two_level: bool = False
     store_access: StoreAccess = StoreAccess.READER
     store_updates_due_s: dict[str, float] = field(default_factory=dict)
+    own_reads_due_s: dict[str, float] = field(default_factory=dict)
     demand_fractions: dict[str, float] = field(default_factory=dict)
     heartbeats_sent_s: dict[int, float] = field(default_factory=dict)
     memory: Memory = field(default_factory=Memory)
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -8,7 +8,7 @@
 from rhubarbspan.edge.entries import EntryReader
 from rhubarbspan.edge.feed import Feed
 from rhubarbspan.edge.mirror import Mirror
-from rhubarbspan.effects import SendPeerMessage, StoreAccess
+from rhubarbspan.effects import Effects, SendPeerMessage, StoreAccess
 from rhubarbspan.inputs import (
     EvacuationsListed,
     PeerMessageReceived,
@@ -28,6 +28,7 @@
 from rhubarbspan.systems.fleet_layout import is_relay, is_two_level
 from rhubarbspan.systems.limit_keepers import choose_keeper
 from rhubarbspan.tick import run_tick
+from rhubarbspan.wire.peer import decode_message, encode_message
 from rhubarbspan.world import World
 from test_sums import (
     OVERAGE,
@@ -205,6 +206,59 @@
     assert now_s + step * STEP_S - last_s < 2.0 + 1.7
 
 
+# DRAIN: with the reader, the backup and the next one cut off from the store, the three
+# others began to read, heard each other, and all relied on each other's promise.
+def test_of_instances_that_take_over_together_the_first_reads_on() -> None:
+    fleet = Fleet(36, 40.0, DATA_CENTRES)
+    for step in range(60):
+        fleet.tick(step * STEP_S, {})
+    worlds = sorted(_local_worlds(fleet, "c-2"), key=lambda row: row.identity.seat)
+    seats = [world.identity.seat for world in worlds]
+    n_reading = []
+    read_s: dict[str, float] = {}
+    for step in range(60, 400):
+        now_s = step * STEP_S
+        fleet.tick(now_s, {})
+        # The first two cannot reach the store, and pass nothing on.
+        able = [world for world in worlds[2:] if is_reader(world)]
+        n_reading.append(len(able))
+        for world in able:
+            if now_s - read_s.get(world.identity.seat, -1e9) >= 1.6:
+                read_s[world.identity.seat] = now_s
+                effects = run_tick(world, now_s, [StoreRead(_update(0, 7))])
+                deliver(fleet, now_s, effects)
+    first_step = next(step for step, n in enumerate(n_reading) if n)
+    assert all(n_reading[first_step:])
+    # Once they know of each other, one of them is enough.
+    assert set(n_reading[-100:]) == {1}
+    assert is_reader(worlds[2])
+    assert [is_reader(world) for world in worlds[3:]] == [False] * len(seats[3:])
+    # One that comes before is relied on again.
+    run_tick(worlds[0], now_s, [StoreRead(_update(0, 8))])
+    earlier = _update(0, 8)
+    earlier.seat = seats[0]
+    run_tick(worlds[2], now_s, [PeerMessageReceived(earlier)])
+    for step in range(400, 420):
+        fleet.tick(step * STEP_S, {})
+    assert not is_reader(worlds[2])
+
+
+def is_reader(world: World) -> bool:
+    """Return whether an instance reads the store itself."""
+    return world.store_access is StoreAccess.READER
+
+
+def deliver(fleet: Fleet, now_s: float, effects: Effects) -> None:
+    """Deliver readings that are passed on at once."""
+    for effect in effects:
+        if not isinstance(effect, SendPeerMessage):
+            continue
+        update = decode_message(encode_message(effect.message))
+        if isinstance(update, StoreUpdate):
+            received = PeerMessageReceived(update)
+            run_tick(fleet.worlds[effect.seat], now_s, [received])
+
+
 @pytest.fixture
 def feed() -> Feed:
     """Return a feed whose store is not asked."""
--- a/tests/test_store_differences.py
+++ b/tests/test_store_differences.py
@@ -5,10 +5,9 @@
 import random
 from collections.abc import Callable
 
-import msgspec
 import pytest
 
-from conftest import MakeWorld
+from conftest import MakeWorld, encoded_fields
 from rhubarbspan.document import Document
 from rhubarbspan.edge import feed as feed_module
 from rhubarbspan.edge.differences import digest_values
@@ -27,7 +26,7 @@
 from rhubarbspan.platform.era import Eras
 from rhubarbspan.platform.store import HISTORY_GONE, Item, Reading
 from rhubarbspan.verdict import Failure
-from rhubarbspan.wire.peer import MESSAGE_TYPES, decode_message, encode_message
+from rhubarbspan.wire.peer import decode_message, encode_message
 
 PREFIX = "servers/"
 START_S = 200.0
@@ -548,15 +547,13 @@
 
 def test_message_without_the_fields_is_decoded_as_before() -> None:
     update = StoreUpdate(
-        PREFIX, 0, 5, [StoreItem("a", b"1")], 2.0, False, 3, 4, 2**64 - 1
+        PREFIX, 0, 5, [StoreItem("a", b"1")], 2.0, False, 3, 4, 2**64 - 1, "n-1"
     )
     assert _sent(update) == update
-    encoded = encode_message(update)
-    fields = msgspec.msgpack.decode(encoded[1:])
-    number = MESSAGE_TYPES.index(StoreUpdate)
-    earlier = bytes([number]) + msgspec.msgpack.encode(fields[:-2])
-    decoded = decode_message(earlier)
-    assert decoded == dataclasses.replace(update, differs_from=0, digest=0)
+    decoded = decode_message(encoded_fields(update, before="seat"))
+    assert decoded == dataclasses.replace(update, seat="")
+    decoded = decode_message(encoded_fields(update, before="differs_from"))
+    assert decoded == dataclasses.replace(update, differs_from=0, digest=0, seat="")
 
 
 # An earlier version takes differences for changes after `after`: it must not apply them
