--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -10,7 +10,7 @@
 
 from platform_fleet import LENGTH_S, N_INSTANCES, Outage, PlatformFleet
 from rhubarbspan.effects import Effects
-from rhubarbspan.systems import health, intake, outcomes, placement
+from rhubarbspan.systems import config_age, health, outcomes, placement
 from rhubarbspan.tables.requests import RequestRow
 from rhubarbspan.world import World
 
@@ -72,7 +72,7 @@
 def test_check_catches_keys_that_outlive_their_withdrawal(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(intake, "config_age_s", lambda world, now_s: 0.0)
+    monkeypatch.setattr(config_age, "config_age_s", lambda world, now_s: 0.0)
     assert _finds_violation("a withdrawn key worked")
 
 
