Refuse requests on connections that a stopping process has not yet accepted

Orders that arrived with the end of a stop were reset, or on the own interface left without a response until the exit, so that their callers could not know whether they had run. They had not.

Cause: the system completes connections before the process accepts them. The listening socket was closed without looking at those, and on the own interface a task was cancelled between accepting a connection and setting it up.

Change: one listener for both interfaces, which accepts what the system has accepted and closes in the same turn; what has arrived is read and refused. What is still open at the end of a stop on the platform is closed then, and not by the exit.

test_slow_readers takes the listening socket from its new place.

--- a/src/rhubarbspan/edge/acceptor.py
+++ b/src/rhubarbspan/edge/acceptor.py
@@ -10,15 +10,15 @@
 from ..systems.memory_budget import choose_displaced
 from ..tables.memory import HoldingRow, Phase
 from .guard import Guard
+from .listener import Listener, let_requests_arrive
 from .ticker import Ticker
 
 LOG = logbook.Logger("rhubarbspan.server")
-BACKLOG = 1024
 # Bytes of a connection that are received at a time. The library's own size, 256 KiB,
 # is passed on as a whole before reading is paused.
 RECEIVED_BYTES = 32_768
-# Pause after an error of accepting, which lasts while the machine is out of something.
-ERROR_PAUSE_S = 0.1
+# Connections that are accepted in one turn; each is set up before the next.
+N_ACCEPTED_PER_TURN = 1
 
 
 class Acceptor:
@@ -30,11 +30,23 @@
         guards: The protocols of the open connections.
     """
 
-    __slots__ = ("_ticker", "_listener", "_task", "transports", "rows", "guards")
+    __slots__ = (
+        "_ticker",
+        "_listener",
+        "_accepted",
+        "_task",
+        "transports",
+        "rows",
+        "guards",
+    )
 
     def __init__(self, ticker: Ticker) -> None:
         self._ticker = ticker
-        self._listener: socket.socket | None = None
+        self._listener: Listener | None = None
+        # The last one is None.
+        self._accepted: asyncio.Queue[tuple[socket.socket, str] | None] = (
+            asyncio.Queue()
+        )
         self._task: asyncio.Task[None] | None = None
         self.transports: dict[HoldingRow, asyncio.Transport] = {}
         self.rows: dict[asyncio.BaseTransport, HoldingRow] = {}
@@ -46,21 +58,23 @@
         Raises:
             OSError: If the address cannot be used.
         """
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        self._listener = socket.create_server(
-            (host, port), family=family, backlog=BACKLOG
+        self._listener = Listener(
+            host,
+            port,
+            lambda accepted, address: self._accepted.put_nowait((accepted, address)),
+            N_ACCEPTED_PER_TURN,
         )
-        self._listener.setblocking(False)
-        accepting = self._accept(self._listener, server)
-        self._task = asyncio.get_running_loop().create_task(accepting)
+        loop = asyncio.get_running_loop()
+        self._task = loop.create_task(self._open_accepted(server))
 
     async def stop(self) -> None:
-        """Stop listening; open connections stay."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
-        if self._listener is not None:
-            self._listener.close()
+        """Stop listening; open connections stay, and their requests are read."""
+        if self._listener is None or self._task is None:
+            return
+        self._listener.close()
+        self._accepted.put_nowait(None)
+        await self._task
+        await let_requests_arrive()
 
     def enter(self, transport: asyncio.BaseTransport | None, phase: Phase) -> None:
         """Record what a connection does from now on."""
@@ -94,15 +108,14 @@
             self.guards,
         )
 
-    async def _accept(self, listener: socket.socket, server: web.Server) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
+    async def _open_accepted(self, server: web.Server) -> None:
+        while (row := await self._accepted.get()) is not None:
+            accepted, address = row
             try:
-                accepted, name = await loop.sock_accept(listener)
-                await self._open(accepted, str(name[0]), server)
+                await self._open(accepted, address, server)
             except OSError as error:
-                LOG.warning("a connection was not accepted: {}", error)
-                await asyncio.sleep(ERROR_PAUSE_S)
+                LOG.warning("a connection could not be set up: {}", error)
+                accepted.close()
 
     async def _open(
         self, accepted: socket.socket, address: str, server: web.Server
--- a/src/rhubarbspan/edge/front.py
+++ b/src/rhubarbspan/edge/front.py
@@ -1,7 +1,6 @@
 """Accepts the connections of callers and hands decisions to their requests."""
 
 import asyncio
-import os
 import socket
 
 import logbook
@@ -16,13 +15,11 @@
 from ..tables.memory import Held, HoldingRow, Memory
 from .caller import CallerConnection
 from .channel import Channel
+from .listener import Listener, let_requests_arrive
 from .ticker import Ticker
 from .transfer import Transfers
 
 LOG = logbook.Logger("rhubarbspan.front")
-BACKLOG = 1024
-# Turns of the event loop in which it sets up a connection that it has accepted.
-N_ACCEPT_TURNS = 3
 # Connections that are accepted in one turn. Those over the limit are closed in the next
 # turn, so this many descriptors may be in use for a moment beyond it.
 N_ACCEPTED_PER_TURN = 32
@@ -41,7 +38,8 @@
         "ticker",
         "transfers",
         "connections",
-        "_server",
+        "_listener",
+        "_opening",
         "_tasks",
         "_sweep",
         "_is_short",
@@ -51,7 +49,8 @@
         self.ticker = ticker
         self.transfers = transfers
         self.connections: dict[HoldingRow, CallerConnection] = {}
-        self._server: asyncio.Server | None = None
+        self._listener: Listener | None = None
+        self._opening: set[asyncio.Task[None]] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._sweep: asyncio.TimerHandle | None = None
         self._is_short = False
@@ -64,13 +63,9 @@
         """
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self._accept, host.strip("[]"), int(port), backlog=N_ACCEPTED_PER_TURN
+        self._listener = Listener(
+            host.strip("[]"), int(port), self._accept, N_ACCEPTED_PER_TURN
         )
-        for listener in self._server.sockets:
-            # The event loop accepts as many connections in a turn as its argument says.
-            with socket.socket(fileno=os.dup(listener.fileno())) as own:
-                own.listen(BACKLOG)
         self._sweep = loop.call_later(SWEEP_S, self._close_stalled)
 
     async def stop(self) -> None:
@@ -79,8 +74,11 @@
         A request that is still arriving is refused when it is complete, as long as the
         grace period allows to wait for it.
         """
-        if self._server is not None:
-            await self._stop_accepting(self._server)
+        if self._listener is not None:
+            self._listener.close()
+        if self._opening:
+            await asyncio.wait(self._opening)
+            await let_requests_arrive()
         if self._sweep is not None:
             self._sweep.cancel()
         for connection in list(self.connections.values()):
@@ -96,19 +94,7 @@
             # Callers whose requests had begun to arrive get no response.
             self.ticker.world.count("connections_cut")
             LOG.warning("connection cut at the stop: {}", connection.describe())
-
-    async def _stop_accepting(self, server: asyncio.Server) -> None:
-        """Stop listening once the connections that were accepted are set up.
-
-        The event loop accepts a connection in one turn and sets it up in the next ones.
-        One whose server is closed in between stays open and is never served.
-        """
-        loop = asyncio.get_running_loop()
-        for listener in server.sockets:
-            loop.remove_reader(listener)
-        for _ in range(N_ACCEPT_TURNS):
-            await asyncio.sleep(0)
-        server.close()
+            connection.channel.abort()
 
     def finish_request(self, effect: FinishRequest) -> None:
         """Hand the final decision on a request to its connection."""
@@ -116,7 +102,20 @@
         if transfer is not None and not transfer.decision_made.done():
             transfer.decision_made.set_result(effect)
 
-    def _accept(self) -> Channel:
+    def _accept(self, accepted: socket.socket, address: str) -> None:
+        task = asyncio.get_running_loop().create_task(self._set_up(accepted))
+        self._opening.add(task)
+        task.add_done_callback(self._opening.discard)
+
+    async def _set_up(self, accepted: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.connect_accepted_socket(self._make_channel, accepted)
+        except OSError as error:
+            LOG.info("a connection could not be set up: {}", error)
+            accepted.close()
+
+    def _make_channel(self) -> Channel:
         connection = CallerConnection(self.ticker, self.transfers, self._forget)
         connection.channel.on_open = lambda channel: self._open(connection)
         return connection.channel
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -83,9 +83,9 @@
     instance = site.instances.pop()
     for server in site.servers:
         server.response_bytes = RESPONSE_BYTES
-    listening = instance._front._server
+    listening = instance._front._listener
     assert listening is not None
-    caller = connect_slowly(instance.settings.listen, listening.sockets)
+    caller = connect_slowly(instance.settings.listen, [listening.socket])
     request = request_bytes("/look/x", X_Deadline_Milliseconds="1000")
     received = site.run(stop_beside_slow_caller(instance, caller, request))
     assert len(read_the_rest(caller, received)) >= RESPONSE_BYTES
@@ -102,7 +102,7 @@
         assert loop.run_until_complete(deployment.wait_ready())
         listening = daemon._server._acceptor._listener
         assert listening is not None
-        caller = connect_slowly(daemon.settings.listen, [listening])
+        caller = connect_slowly(daemon.settings.listen, [listening.socket])
         head = f"GET /look/x?size={RESPONSE_BYTES} HTTP/1.1\r\nHost: x\r\n"
         request = f"{head}Authorization: Bearer {KEY}\r\n\r\n".encode()
         del deployment.daemons["x-1"]
