Reserve the ports of stand-ins and tests over all processes

Its process had ended with "address already in use".

Cause: a port was taken as free while nobody listened on it, so that two test processes could get the same one: ranges of process numbers that differ by a multiple of 165 are the same, and each range ends in the next one. While a process starts or restarts its port is free for a moment, and callers of one test may reach what another one runs there.

Change: a byte of a file is locked for each port that a process has got, until it ends.

--- a/src/rhubarbspan/standins/deployment.py
+++ b/src/rhubarbspan/standins/deployment.py
@@ -1,10 +1,14 @@
 """A complete deployment in one process: stand-ins and daemons on loopback."""
 
 import asyncio
+import fcntl
+import functools
 import itertools
 import os
 import socket
+import tempfile
 from dataclasses import dataclass, field
+from pathlib import Path
 
 from ..checking import check_document
 from ..configuration import Configuration
@@ -27,15 +31,34 @@
 _port_numbers = itertools.count()
 
 
+@functools.cache
+def _lock_file() -> int:
+    """Return the descriptor of the file whose locked bytes are the ports in use."""
+    path = Path(tempfile.gettempdir()) / f"rhubarbspan-ports-{os.getuid()}"
+    return os.open(path, os.O_CREAT | os.O_RDWR, 0o600)
+
+
+def _reserve(port: int) -> bool:
+    """Reserve a port until the end of this process; return whether it was free."""
+    try:
+        fcntl.lockf(_lock_file(), fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
+    except OSError:
+        return False
+    return True
+
+
 def free_address() -> str:
     """Return a loopback address that nothing listens on.
 
     The port is below the system's range of ephemeral ports, so that it isn't assigned
-    to another process before it is used.
+    to another process before it is used. No other process gets it here, also while
+    nobody listens on it.
     """
     first = os.getpid() * PORTS_PER_PROCESS
     for _ in range(N_PORTS):
         port = FIRST_PORT + (first + next(_port_numbers)) % N_PORTS
+        if not _reserve(port):
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind((HOST, port))
