Tell in failed tests of stops what held the process up

Five tests failed once each beside heavy load, without a trace.

Change: a killed process is reported with the time that it was ready to run and did not, the pressure on memory and disks, and the end of its log. The test of late answers also asks for verdict and reason, and so shows them.

--- a/tests/entry_process.py
+++ b/tests/entry_process.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 from edge_site import KEY
+from held_up import describe_machine, waited_s
 from process_caller import finish_upload
 from rhubarbspan.standins.caller import CallerStandIn, CallResult
 from rhubarbspan.standins.deployment import Deployment, free_address
@@ -22,6 +23,8 @@
 SERVICE_S = 2.4
 TIMEOUT_S = 4.0
 N_SERVERS = 30
+# Of a process that was killed, this much of its log is told.
+LOG_CHARACTERS = 2000
 # Time in which a new instance takes over its slots.
 SETTLE_S = 3.0
 
@@ -35,6 +38,7 @@
         terminated_s: When it was asked to stop last, by the event loop's clock.
         exited_s: When the process ended after that.
         was_killed: Whether it still ran at the end of the grace period.
+        stop_report: What a failed test tells of the last stop.
         machine_limits: The limits of its machine in its settings.
     """
 
@@ -48,6 +52,7 @@
     terminated_s: float = 0.0
     exited_s: float = 0.0
     was_killed: bool = False
+    stop_report: str = ""
     machine_limits: dict[str, int] = field(default_factory=dict)
 
     async def start(self) -> None:
@@ -104,6 +109,8 @@
         """Stop the daemon as a platform does: SIGTERM, and later SIGKILL."""
         assert self.running is not None
         loop = asyncio.get_running_loop()
+        pid = self.running.pid
+        waited_before_s = waited_s(pid)
         self.terminated_s = loop.time()
         self.send_signal(signal.SIGTERM)
         try:
@@ -111,8 +118,11 @@
                 await self.running.wait()
         except TimeoutError:
             self.was_killed = True
+            waited = f"waited {waited_s(pid) - waited_before_s:.2f} s for a processor"
             self.send_signal(signal.SIGKILL)
             await self.running.wait()
+            log = (self.folder / f"{self.seat}.log").read_text()[-LOG_CHARACTERS:]
+            self.stop_report = f"killed; {waited}; {describe_machine()}\n{log}"
         self.exited_s = loop.time()
 
     async def close(self) -> None:
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -7,6 +7,7 @@
 
 from edge_site import KEY, LIMITED_KEY, Site, set_faults
 from rhubarbspan.standins.caller import CALL_TIMEOUT_S, CallerStandIn, CallResult
+from rhubarbspan.wire.http import REASON_HEADER, VERDICT_HEADER
 
 pytestmark = pytest.mark.xdist_group("edge")
 
@@ -83,15 +84,16 @@
         backend.service_s = 0.4
     entry = site.deployment.entries()[0]
 
-    async def work() -> int:
+    async def work() -> tuple[int, str, str]:
         headers = {"Authorization": f"Bearer {KEY}", "X-Timeout-Ms": "100"}
         async with (
             aiohttp.ClientSession(headers=headers) as session,
             session.get(f"http://{entry}/look/slow") as response,
         ):
-            return response.status
+            found = response.headers
+            return response.status, found[VERDICT_HEADER], found[REASON_HEADER]
 
-    assert site.run(work()) == 504
+    assert site.run(work()) == (504, "may-have-run", "deadline")
     for backend in site.deployment.backends.values():
         backend.service_s = 0.02
     for number in range(6):
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -10,6 +10,7 @@
 
 from conftest import RunFleet
 from fleet_judges import cut_lines, lost_sendings
+from held_up import describe_machine
 from process_caller import LOOKUP_KEEPS, Caller
 from process_fleet import ProcessFleet, Sending, Stop
 from rhubarbspan.edge.instance import choose_policies, lookup_lifetime_s
@@ -184,7 +185,7 @@
 @pytest.mark.parametrize("seed", [1, 2])
 def test_overlapping_stops_in_series_lose_nothing(seed: int, tmp_path: Path) -> None:
     result = asyncio.run(soak(seed, tmp_path, SOAK_S, n_instances=3, n_callers=30))
-    assert result.n_answered > result.n_sent / 3
+    assert result.n_answered > result.n_sent / 3, describe_machine()
     assert result.n_stops >= 3
     assert result.faults() == []
     assert result.cut == []
