Read what has arrived on connections that were set up just before a stop

A connection whose set-up had ended in the turn before the stop was taken for idle and closed with its request unread; after an error of accepting, the listener could be resumed once it was closed.

Change: arrived requests are read before idle connections are closed, whether or not one is being set up; the resumption is cancelled last. A comment about an argument that is gone goes too.

--- a/src/rhubarbspan/edge/front.py
+++ b/src/rhubarbspan/edge/front.py
@@ -78,7 +78,7 @@
             self._listener.close()
         if self._opening:
             await asyncio.wait(self._opening)
-            await let_requests_arrive()
+        await let_requests_arrive()
         if self._sweep is not None:
             self._sweep.cancel()
         for connection in list(self.connections.values()):
--- a/src/rhubarbspan/edge/listener.py
+++ b/src/rhubarbspan/edge/listener.py
@@ -57,11 +57,11 @@
 
     def close(self) -> None:
         """Accept what the system has accepted, and stop listening."""
-        if self._resumption is not None:
-            self._resumption.cancel()
         self._loop.remove_reader(self.socket)
         while self._accept_one():
             pass
+        if self._resumption is not None:
+            self._resumption.cancel()
         self.socket.close()
 
     def _resume(self) -> None:
--- a/src/rhubarbspan/inspection.py
+++ b/src/rhubarbspan/inspection.py
@@ -68,7 +68,6 @@
         loaded = load_document(path)
         return loaded if isinstance(loaded, Failure) else ReadFile(loaded[0])
     value = text.encode()
-    # The age of a configuration in use does not matter for the checks.
     translated = translate_configuration(value, regions)
     if isinstance(translated, Failure):
         return Failure(translated.code, f"{path}: {translated.reason}")
