Change the bound on withdrawn keys in the soak of processes

The soak withdrew keys behind restores of the store, but no settings changed in it. Instances now get longer bounds and the usual one in turn, with a signal and without, and each request with a withdrawn key is judged by the bounds that its instance may hold to. The writer of bounds moves from a test to the fleet.

--- a/tests/fleet_judges.py
+++ b/tests/fleet_judges.py
@@ -6,8 +6,6 @@
 
 # Time after its last byte from which a request counts as read, by the platform's bound.
 LOSS_SLACK_S = 0.2
-# The platform's bound on withdrawn keys.
-REVOCATION_S = 5.0
 
 
 def lost_sendings(fleet: ProcessFleet) -> list[str]:
@@ -109,10 +107,11 @@
 def late_keys(fleet: ProcessFleet) -> list[str]:
     """List keys that worked for longer than the bound after their withdrawal."""
     return [
-        f"{row.key} worked {max(row.accepted_s) - row.withdrawn_s:.2f} s after it "
-        f"was withdrawn"
+        f"{row.key} worked at {name} {sent_s - row.withdrawn_s:.2f} s after it was "
+        f"withdrawn, where {fleet.bound_s(name, sent_s):g} s are allowed"
         for row in fleet.withdrawals
-        if any(at_s > row.withdrawn_s + REVOCATION_S for at_s in row.accepted_s)
+        for sent_s, name in row.accepted
+        if sent_s > row.withdrawn_s + fleet.bound_s(name, sent_s)
     ]
 
 
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -27,6 +27,10 @@
 ROOT = Path(__file__).parent.parent
 START_S = 20.0
 RESTART_DELAY_S = 0.3
+# The platform's bound on withdrawn keys, and the time in which an instance takes up
+# another one from its settings file.
+REVOCATION_S = 5.0
+TAKEN_UP_S = 2.0
 
 
 @dataclass(slots=True)
@@ -80,12 +84,22 @@
 
     Attributes:
         withdrawn_s: When the store acknowledged the withdrawal.
-        accepted_s: When each request with the key was sent that was not refused.
+        accepted: When each request with the key was sent that was not refused, and to
+            which instance.
     """
 
     key: str
     withdrawn_s: float
-    accepted_s: list[float] = field(default_factory=list)
+    accepted: list[tuple[float, str]] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class RevocationBound:
+    """A bound on withdrawn keys that was written to an instance's settings file."""
+
+    instance: str
+    written_s: float
+    revocation_s: float
 
 
 @dataclass(slots=True)
@@ -134,6 +148,7 @@
     leaves: list[Leave] = field(default_factory=list)
     withdrawals: list[Withdrawal] = field(default_factory=list)
     unfinished_callers: set[str] = field(default_factory=set)
+    bounds: list[RevocationBound] = field(default_factory=list)
     n_restores: int = 0
     own_ends: list[str] = field(default_factory=list)
     n_sent: int = 0
@@ -167,7 +182,7 @@
             "ipAddress": "127.0.0.1",
             "listenAddresses": addresses,
             "internalPortRange": [peer_port, peer_port],
-            "bounds": [f"graceS={self.grace_s:g}", f"drainS={self.drain_s:g}"],
+            "bounds": self._bounds(REVOCATION_S),
             "platform": {"address": self.deployment.store.address},
             "limits": self.machine_limits,
         }
@@ -175,6 +190,35 @@
         file.write_text(json.dumps(settings))
         self.instances.append(InstanceProcess(name, zone, file, addresses))
 
+    def _bounds(self, revocation_s: float) -> list[str]:
+        return [
+            f"graceS={self.grace_s:g}",
+            f"drainS={self.drain_s:g}",
+            f"revocationS={revocation_s:g}",
+        ]
+
+    def change_bound(self, instance: InstanceProcess, revocation_s: float) -> None:
+        """Write a bound on withdrawn keys to the settings file, without a signal."""
+        settings = json.loads(instance.file.read_text())
+        settings["bounds"] = self._bounds(revocation_s)
+        instance.file.write_text(json.dumps(settings))
+        written_s = asyncio.get_running_loop().time()
+        bound = RevocationBound(instance.name, written_s, revocation_s)
+        self.bounds.append(bound)
+
+    def bound_s(self, instance: str, sent_s: float) -> float:
+        """Return the longest bound on withdrawn keys that an instance may hold to."""
+        held_s = REVOCATION_S
+        recent_s = []
+        for row in self.bounds:
+            if row.instance != instance or row.written_s > sent_s:
+                continue
+            if row.written_s < sent_s - TAKEN_UP_S:
+                held_s = row.revocation_s
+            else:
+                recent_s.append(row.revocation_s)
+        return max([held_s, *recent_s])
+
     async def start_process(self, instance: InstanceProcess) -> None:
         """Start a process as the deploy file says; its log goes to a file."""
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,6 +1,7 @@
 """A soak of real processes: planned stops in series that overlap, under load.
 
-The store is restored from copies meanwhile, and keys are withdrawn.
+The store is restored from copies meanwhile, keys are withdrawn, and the bound on them
+changes in the settings files.
 
 By hand: ``python tests/soak.py --seeds 50``; test_planned_stops.py runs two seeds.
 """
@@ -17,7 +18,6 @@
 from pathlib import Path
 
 from fleet_judges import (
-    REVOCATION_S,
     broken_promises,
     cut_lines,
     late_keys,
@@ -31,7 +31,7 @@
     Caller,
     send_chunks,
 )
-from process_fleet import ProcessFleet, Withdrawal, is_ready
+from process_fleet import REVOCATION_S, ProcessFleet, Withdrawal, is_ready
 from process_peer import FRAMES, peer_address, send_frames
 from rhubarbspan.standins.platform_deployment import send_request
 from rhubarbspan.standins.platform_server import Fault
@@ -62,7 +62,8 @@
 MACHINE_LIMITS = {"memoryMb": 100, "fileDescriptors": 1024}
 N_FAULTS = 10_000
 # Time for which a withdrawn key is tried, and between two tries.
-TRIED_S = REVOCATION_S + 3.0
+LONG_REVOCATION_S = 8.0
+TRIED_S = LONG_REVOCATION_S + 3.0
 TRY_INTERVAL_S = 0.2
 
 
@@ -147,6 +148,20 @@
     await asyncio.gather(*tasks.values())
 
 
+async def change_settings_in_series(
+    fleet: ProcessFleet, rng: random.Random, until_s: float
+) -> None:
+    """Raise and lower the bound on withdrawn keys, with a signal and without."""
+    loop = asyncio.get_running_loop()
+    while loop.time() < until_s:
+        instance = rng.choice(fleet.instances)
+        bound_s = rng.choice([REVOCATION_S, REVOCATION_S, LONG_REVOCATION_S])
+        fleet.change_bound(instance, bound_s)
+        if rng.random() < 0.5:
+            instance.send_signal(signal.SIGHUP)
+        await asyncio.sleep(rng.uniform(0.0, 3.0))
+
+
 async def leave_in_series(
     fleet: ProcessFleet, rng: random.Random, until_s: float
 ) -> None:
@@ -190,7 +205,8 @@
     """Send requests with a withdrawn key for longer than it may work."""
     loop = asyncio.get_running_loop()
     while loop.time() < withdrawal.withdrawn_s + TRIED_S:
-        address = rng.choice(fleet.instances).addresses["front"]
+        instance = rng.choice(fleet.instances)
+        address = instance.addresses["front"]
         sent_s = loop.time()
         with contextlib.suppress(OSError, TimeoutError):
             async with asyncio.timeout(TRY_INTERVAL_S * 10):
@@ -198,7 +214,7 @@
                     address, "/look/key", X_Credential=withdrawal.key
                 )
                 if reply.status < 400:
-                    withdrawal.accepted_s.append(sent_s)
+                    withdrawal.accepted.append((sent_s, instance.name))
         await asyncio.sleep(TRY_INTERVAL_S)
 
 
@@ -265,7 +281,13 @@
         restoring = asyncio.create_task(
             restore_in_series(fleet, random.Random(seed + 0.5), until_s - fleet.grace_s)
         )
+        changing = asyncio.create_task(
+            change_settings_in_series(
+                fleet, random.Random(seed + 0.25), until_s - fleet.grace_s
+            )
+        )
         await stop_in_series(fleet, rng, until_s - fleet.grace_s)
+        await changing
         await leaving
         await restoring
         await costly
--- a/tests/test_changed_settings.py
+++ b/tests/test_changed_settings.py
@@ -228,15 +228,6 @@
     assert deployed.run(work()) == [200, 503, 200, 503, 200, 200]
 
 
-def write_bound(
-    fleet: ProcessFleet, instance: InstanceProcess, revocation_s: float
-) -> None:
-    """Write the bound on withdrawn keys to an instance's settings file."""
-    settings = json.loads(instance.file.read_text())
-    settings["bounds"] = [f"graceS={fleet.grace_s:g}", f"revocationS={revocation_s:g}"]
-    instance.file.write_text(json.dumps(settings))
-
-
 async def status_with(
     instance: InstanceProcess, request_id: str, key: str = KEY
 ) -> int:
@@ -257,7 +248,7 @@
             server.service_s = 0.02
 
         async def change(revocation_s: float) -> None:
-            write_bound(fleet, instance, revocation_s)
+            fleet.change_bound(instance, revocation_s)
             if has_signal:
                 instance.send_signal(signal.SIGHUP)
             # Longer than the file is left unread.
--- a/tests/test_store_restores.py
+++ b/tests/test_store_restores.py
@@ -12,8 +12,8 @@
 import pytest
 
 from conftest import MakeWorld
-from fleet_judges import REVOCATION_S
 from platform_site import PlatformSite
+from process_fleet import REVOCATION_S
 from rhubarbspan.document import Document, Snapshot
 from rhubarbspan.edge.feed import Feed
 from rhubarbspan.edge.mirror import Mirror
