--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -201,7 +201,10 @@
         """Write a bound on withdrawn keys to the settings file, without a signal."""
         settings = json.loads(instance.file.read_text())
         settings["bounds"] = self._bounds(revocation_s)
-        instance.file.write_text(json.dumps(settings))
+        # A process that starts just then must not read half of it.
+        new_file = instance.file.with_suffix(".new")
+        new_file.write_text(json.dumps(settings))
+        new_file.replace(instance.file)
         written_s = asyncio.get_running_loop().time()
         bound = RevocationBound(instance.name, written_s, revocation_s)
         self.bounds.append(bound)
