Take the limits on a request when its first bytes arrive

Cause: the limits were taken when the instance began to wait for the request.

Change: they are taken when its first bytes arrive, and the time for which a connection may be idle when it seems to be over.

Ruled out: the limits themselves, which came into force with the configuration; a new connection had them.

Before: the three tests in tests/test_changed_limits.py failed (the connection was closed). After: they pass.

--- a/src/rhubarbspan/edge/caller.py
+++ b/src/rhubarbspan/edge/caller.py
@@ -163,6 +163,9 @@
 
     async def _serve_next(self) -> bool:
         """Read a request and begin to serve it; return whether to read the next one."""
+        if not self._unread and not await self._wait_for_bytes():
+            return False
+        # The limits may have changed while the connection was idle.
         exchange = self._begin_exchange()
         try:
             read = await self._read_request(exchange)
@@ -235,11 +238,8 @@
         """
         limits = self._limits()
         parser = exchange.parser
-        if self._unread:
-            parser.receive_data(self._unread)
-            self._unread = b""
-        elif not await self._wait_for_bytes(exchange, limits):
-            return None
+        parser.receive_data(self._unread)
+        self._unread = b""
         self._is_waiting = False
         self._enter(Phase.ARRIVING)
         exchange.meter.started_s = asyncio.get_running_loop().time()
@@ -281,15 +281,12 @@
         fields = parse_request_headers(headers)
         return ReadRequest(exchange, request, headers, fields, body, is_complete)
 
-    async def _wait_for_bytes(
-        self, exchange: CallerExchange, limits: CallerLimits
-    ) -> bool:
+    async def _wait_for_bytes(self) -> bool:
         """Wait for the first bytes of a request; return whether there are any.
 
         The connection is idle only while no request is in progress.
         """
         loop = asyncio.get_running_loop()
-        timeout_s = limits.idle_timeout_s + IDLE_MARGIN_S
         self._is_waiting = True
         self._channel.release()
         if not self._pipeline.rows and self._row.phase is not Phase.IDLE:
@@ -297,14 +294,17 @@
         while True:
             since_s = loop.time() if self._pipeline.rows else self._idle_since_s
             try:
-                async with asyncio.timeout_at(since_s + timeout_s):
-                    exchange.parser.receive_data(await self._channel.read())
-                return True
+                async with asyncio.timeout_at(since_s + self._idle_timeout_s()):
+                    self._unread = await self._channel.read()
+                return bool(self._unread)
             except TimeoutError:
                 idle_s = loop.time() - self._idle_since_s
-                if not self._pipeline.rows and idle_s >= timeout_s:
+                if not self._pipeline.rows and idle_s >= self._idle_timeout_s():
                     return False
 
+    def _idle_timeout_s(self) -> float:
+        return self._limits().idle_timeout_s + IDLE_MARGIN_S
+
     async def _next_event(self, exchange: CallerExchange) -> object:
         return await next_event(self._channel, exchange.parser, exchange.meter)
 
