Rely on a reader's pauses only as far as the own settings allow

What callers would see: with a lowered drainS in the settings of some machines only, orders sent to leaving servers for longer than the own file allows (DRAIN).

Cause: in a fleet of two levels a reading promises by the reader's settings when the next one comes, and the other instances relied on any promise.

Change: an instance relies on promises only up to the one that it would make itself; with a longer one it reads the store itself. Changed settings shorten promises that were made before.

Ruled out: telling the reader of the lowest bound. The reader would decide for others by what it last heard of them, and a lost heartbeat would raise the bound again.

Before: test_reader_that_pauses_longer_than_the_own_bound_allows_is_not_relied_on fails for a change before and after the reading (the instance does not read).

--- a/src/rhubarbspan/edge/instance.py
+++ b/src/rhubarbspan/edge/instance.py
@@ -56,7 +56,7 @@
 from .lines import LineHandler, LineWriter
 from .lookups import LookupServer
 from .machine import usable_descriptors
-from .pacing import max_listing_gap_s, servers_pause_s
+from .pacing import max_listing_gap_s, max_promises_s, servers_pause_s
 from .peers import PeerTransport
 from .registration import Registration
 from .signals import StopSignal, stop_on_signal
@@ -119,6 +119,7 @@
         max_region_step=min(1.0, REGION_STEP_FRACTION * bounds.region_step),
         servers_pause_s=servers_pause_s(bounds),
         max_listing_gap_s=max_listing_gap_s(bounds),
+        max_promises_s=max_promises_s(bounds),
         # Callers keep look-up answers for most of the grace period.
         serve_leaving_s=float("inf"),
     )
--- a/src/rhubarbspan/edge/pacing.py
+++ b/src/rhubarbspan/edge/pacing.py
@@ -38,6 +38,16 @@
     return SERVERS_PAUSE_FRACTION * bounds.leaving_s
 
 
+def max_promises_s(bounds: Bounds) -> dict[str, float]:
+    """Return the longest promises of a next reading to rely on, by prefix.
+
+    They are those that this instance would make as the reader, so that another's
+    settings do not make it miss its own bounds.
+    """
+    pause_s = FORWARDED_PAUSE_FRACTION * servers_pause_s(bounds)
+    return {SERVER_PREFIX: WATCH_WAIT_S + pause_s}
+
+
 def max_listing_gap_s(bounds: Bounds) -> float:
     """Return the longest time between two readings of the servers, with a margin."""
     return WATCH_WAIT_S + servers_pause_s(bounds) + LISTING_MARGIN_S
--- a/src/rhubarbspan/policies.py
+++ b/src/rhubarbspan/policies.py
@@ -1,7 +1,7 @@
 """Policies for sharing limits between instances and for choosing backend servers."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from .document_rules import OWN_RULES, DocumentRules
 
@@ -151,6 +151,9 @@
         servers_pause_s: Pause between two readings of the servers.
         max_listing_gap_s: Longest time between two lists of servers while the store can
             be reached.
+        max_promises_s: By prefix of the store, the longest time until the next reading
+            for which an instance relies on a reader that promises it; others have no
+            bound.
         serve_leaving_s: How long an instance that stops gracefully goes on serving.
         finish_leaving_s: How long after the stop request its requests may run. The
             process is killed soon after.
@@ -178,6 +181,7 @@
     max_region_step: float = 1.0
     servers_pause_s: float = 0.0
     max_listing_gap_s: float = float("inf")
+    max_promises_s: Mapping[str, float] = field(default_factory=dict)
     # The lifetime of a look-up answer, plus one second until peers know of the stop.
     serve_leaving_s: float = 4.0
     finish_leaving_s: float = float("inf")
--- a/src/rhubarbspan/systems/store_readers.py
+++ b/src/rhubarbspan/systems/store_readers.py
@@ -5,7 +5,8 @@
 seldom behind, so that the loss of the reader leaves no gap. An instance that hears of
 no reading for longer than the readers promised reads for itself, those that come first
 in the order of names first. Those that begin together hear each other at once: the
-first of them reads on, and only the others rely on it.
+first of them reads on, and only the others rely on it. Nobody relies on a reader whose
+settings let it pause for longer than the own ones.
 """
 
 from ..effects import (
@@ -15,7 +16,7 @@
     SetStoreAccess,
     StoreAccess,
 )
-from ..inputs import Inbox, PeerMessageReceived, StoreRead, Timer
+from ..inputs import Inbox, PeerMessageReceived, PoliciesChanged, StoreRead, Timer
 from ..peer_messages import StoreUpdate
 from ..world import World
 from .fleet_layout import N_RELAYS, is_two_level, local_peers, local_rank
@@ -49,10 +50,12 @@
                     # no other comes.
                     world.count("store_updates_of_old_eras")
                     continue
-                if not update.is_stale and not _comes_after(world, now_s, update):
+                if _is_relied_on(world, now_s, update):
                     due_s = now_s + min(update.next_within_s, MAX_PROMISE_S)
                     world.store_updates_due_s[update.prefix] = due_s
                 effects.append(ApplyStoreUpdate(update))
+    if inbox.of(PoliciesChanged):
+        _shorten_promises(world, now_s)
     if inbox.due(Timer.HEARTBEAT):
         access = _choose_access(world, now_s)
         if access is not world.store_access:
@@ -61,6 +64,25 @@
     return effects
 
 
+def _is_relied_on(world: World, now_s: float, update: StoreUpdate) -> bool:
+    """Return whether an instance need not read until a reading's promise is over."""
+    if update.is_stale or _comes_after(world, now_s, update):
+        return False
+    max_promise_s = world.policies.max_promises_s.get(update.prefix, float("inf"))
+    if update.next_within_s > max_promise_s:
+        world.count("store_updates_too_far_apart")
+        return False
+    return True
+
+
+def _shorten_promises(world: World, now_s: float) -> None:
+    """Rely on promises that were made before only as long as the policies allow."""
+    for prefix, max_promise_s in world.policies.max_promises_s.items():
+        due_s = world.store_updates_due_s.get(prefix)
+        if due_s is not None:
+            world.store_updates_due_s[prefix] = min(due_s, now_s + max_promise_s)
+
+
 def _comes_after(world: World, now_s: float, update: StoreUpdate) -> bool:
     """Return whether a reading is of an instance that is to rely on this one.
 
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -13,6 +14,7 @@
     EvacuationsListed,
     PeerMessageReceived,
     PeersListed,
+    PoliciesChanged,
     ServerListing,
     ServersListed,
     ServersUnchanged,
@@ -243,6 +245,50 @@
     assert not is_reader(worlds[2])
 
 
+# DRAIN: an instance whose bound on leaving servers was lowered went on with the pauses
+# of a reader whose settings had not changed.
+@pytest.mark.parametrize("is_lowered_early", [True, False])
+def test_reader_that_pauses_longer_than_the_own_bound_allows_is_not_relied_on(
+    is_lowered_early: bool,
+) -> None:
+    fleet = Fleet(36, 40.0, DATA_CENTRES)
+    for step in range(60):
+        fleet.tick(step * STEP_S, {})
+    worlds = sorted(_local_worlds(fleet, "c-2"), key=lambda row: row.identity.seat)
+    reader, lowered, *others = worlds[0], worlds[3], worlds[1], *worlds[4:]
+    now_s = 60 * STEP_S
+    update = StoreUpdate("servers/", 0, 7, [], 9.0, seat=reader.identity.seat)
+
+    def lower(at_s: float) -> None:
+        promises = {"servers/": 2.0}
+        lowered.policies = replace(lowered.policies, max_promises_s=promises)
+        run_tick(lowered, at_s, [PoliciesChanged()])
+
+    if is_lowered_early:
+        lower(now_s)
+    deliver(fleet, now_s, run_tick(reader, now_s, [StoreRead(update)]))
+    for step in range(60, 64):
+        fleet.tick(step * STEP_S, {})
+    if not is_lowered_early:
+        assert not is_reader(lowered)
+        lower(64 * STEP_S)
+    n_steps = int((2.0 + 1.5) / STEP_S)
+    for step in range(64, 64 + n_steps):
+        fleet.tick(step * STEP_S, {})
+    assert is_reader(lowered)
+    assert not any(is_reader(world) for world in others)
+    # It reads on while the reader does, and relies on one that pauses as it would.
+    now_s = (64 + n_steps) * STEP_S
+    deliver(fleet, now_s, run_tick(reader, now_s, [StoreRead(update)]))
+    fleet.tick(now_s, {})
+    assert is_reader(lowered)
+    sooner = StoreUpdate("servers/", 0, 7, [], 2.0, seat=reader.identity.seat)
+    deliver(fleet, now_s, run_tick(reader, now_s, [StoreRead(sooner)]))
+    for step in range(64 + n_steps, 64 + n_steps + 20):
+        fleet.tick(step * STEP_S, {})
+    assert not is_reader(lowered)
+
+
 def is_reader(world: World) -> bool:
     """Return whether an instance reads the store itself."""
     return world.store_access is StoreAccess.READER
