Judge requests to leaving servers by when they reached the server

Cause: the judge compared the time at which the caller sent the request with the time at which the server came back. A request that was sent just before the server returned and reached it after that counted as one to a leaving server.

Change: the stand-in records when the head of each request arrives, and the judge compares that, as the rule says "reaches". This is stricter for requests that were sent before the end of the bound and reach the server after it.

--- a/src/rhubarbspan/standins/platform_server.py
+++ b/src/rhubarbspan/standins/platform_server.py
@@ -99,6 +99,7 @@
             string for none.
         runs: Number of runs by request ID.
         requests: Method, target, headers and body of each request that was run.
+        arrivals_s: When the head of each request arrived, by request ID.
         received: Bytes of the body of each request, also of those that were not run, by
             request ID.
         refused_ids: Identifier of the request that was refused last, by connection.
@@ -122,6 +123,7 @@
     requests: list[tuple[bytes, bytes, dict[bytes, bytes], bytes]] = field(
         default_factory=list, repr=False
     )
+    arrivals_s: dict[str, list[float]] = field(default_factory=dict, repr=False)
     received: dict[str, bytearray] = field(default_factory=dict, repr=False)
     refused_ids: dict[asyncio.StreamWriter, str] = field(default_factory=dict)
     n_endless_bytes: int = 0
@@ -179,6 +181,8 @@
         headers = dict(request.headers)
         request_id = headers.get(b"x-request-id", b"").decode()
         fault = self.faults.pop(0) if self.faults else Fault.NONE
+        arrived_s = asyncio.get_running_loop().time()
+        self.arrivals_s.setdefault(request_id, []).append(arrived_s)
         received = self.received[request_id] = bytearray()
         if fault in EARLY_FAULTS:
             await _read_body(reader, parser, received, self.early_after_bytes)
--- a/tests/fleet_judges.py
+++ b/tests/fleet_judges.py
@@ -65,13 +65,13 @@
         for row in rows:
             since_s = told_s.get(row.instance, float("inf"))
             limit_s = since_s + fleet.drain_s
-            if not limit_s < row.sent_s < leave.to_s:
-                continue
-            if not _has_restarted(fleet, row.instance, since_s, row.sent_s):
-                late.append(
-                    f"{row.request_id} reached {leave.server.server_id} from "
-                    f"{row.instance} {row.sent_s - limit_s:.2f} s too late"
-                )
+            late += [
+                f"{row.request_id} reached {leave.server.server_id} from "
+                f"{row.instance} {arrived_s - limit_s:.2f} s too late"
+                for arrived_s in leave.server.arrivals_s[row.request_id]
+                if limit_s < arrived_s < leave.to_s
+                and not _has_restarted(fleet, row.instance, since_s, arrived_s)
+            ]
     return late
 
 
