Begin to read also where nothing was promised yet that may be relied on

Cause: a reading that is not relied on left no trace. An instance that had heard no reading of the servers when its settings changed had only promises on other prefixes, and these held, so that it never began to read.

Change: such a reading counts as a promise that is over.

Before: test_reader_that_pauses_longer_than_the_own_bound_allows_is_not_relied_on, which now has a promise on another prefix, fails for settings that were changed before the first reading. After: passes.

--- a/src/rhubarbspan/systems/store_readers.py
+++ b/src/rhubarbspan/systems/store_readers.py
@@ -71,6 +71,8 @@
     max_promise_s = world.policies.max_promises_s.get(update.prefix, float("inf"))
     if update.next_within_s > max_promise_s:
         world.count("store_updates_too_far_apart")
+        # Other prefixes may have promises; without one, this one would be overlooked.
+        world.store_updates_due_s.setdefault(update.prefix, now_s)
         return False
     return True
 
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -264,6 +264,9 @@
         lowered.policies = replace(lowered.policies, max_promises_s=promises)
         run_tick(lowered, at_s, [PoliciesChanged()])
 
+    # What the others hear of another prefix is as frequent as they ask for.
+    other = StoreUpdate("op/", 0, 7, [], 60.0, seat=reader.identity.seat)
+    deliver(fleet, now_s, run_tick(reader, now_s, [StoreRead(other)]))
     if is_lowered_early:
         lower(now_s)
     deliver(fleet, now_s, run_tick(reader, now_s, [StoreRead(update)]))
