Count refusals of unconfirmed keys apart in the soak of stops

test_overlapping_stops_in_series_lose_nothing[2] failed once beside load: 596 of 2,452 requests answered, more than 817 asked for.

Cause: the test compared answers with all requests, and callers of the soak repeat a refused request at once. The failed run itself left no log, and was not seen again.

Refusals of sound keys are judged too: they may be seen only in an outage of the store or after a start, and for the bound on withdrawn keys after it.

--- a/tests/fleet_judges.py
+++ b/tests/fleet_judges.py
@@ -1,11 +1,26 @@
 """Judges what the callers and servers of a fleet of processes have seen."""
 
 import re
+from dataclasses import dataclass
 
-from process_fleet import ProcessFleet, Sending, Stop
+from process_fleet import REVOCATION_S, ProcessFleet, Sending, Stop
+from rhubarbspan.verdict import Reason
 
 # Time after its last byte from which a request counts as read, by the platform's bound.
 LOSS_SLACK_S = 0.2
+# Log lines of refusals that are further apart belong to two times.
+MAX_LINE_GAP_S = 1.0
+# Time between a refusal and its log line, and the way to the caller.
+LINE_DELAY_S = 0.3
+
+
+@dataclass(slots=True)
+class UnconfirmedTime:
+    """A time in which an instance refused keys, as nothing confirmed them."""
+
+    instance: str
+    from_s: float
+    to_s: float
 
 
 def lost_sendings(fleet: ProcessFleet) -> list[str]:
@@ -127,3 +142,55 @@
         if row.status == 200 and not n_runs:
             broken.append(f"{row.request_id} was answered, and no server ran it")
     return broken
+
+
+def unconfirmed_times(fleet: ProcessFleet) -> list[UnconfirmedTime]:
+    """List when instances logged that the configuration was too old for keys."""
+    times: list[UnconfirmedTime] = []
+    newest: dict[str, UnconfirmedTime] = {}
+    lines = [
+        (float(str(line["now_s"])), str(line["instance"]))
+        for line in fleet.log_lines("refused")
+        if line.get("reason") == Reason.STALE_CONFIGURATION.value
+    ]
+    for at_s, instance in sorted(lines):
+        row = newest.get(instance)
+        if row is None or at_s - row.to_s > MAX_LINE_GAP_S:
+            row = newest[instance] = UnconfirmedTime(instance, at_s, at_s)
+            times.append(row)
+        row.to_s = at_s
+    return times
+
+
+def count_unconfirmed(fleet: ProcessFleet) -> int:
+    """Count the refusals in such times; the log has only some of them."""
+    times = unconfirmed_times(fleet)
+    return sum(
+        sending.status == 503
+        and any(
+            row.instance == sending.instance
+            and row.from_s - LINE_DELAY_S <= sending.ended_s <= row.to_s + LINE_DELAY_S
+            for row in times
+        )
+        for sending in fleet.sendings
+    )
+
+
+def sound_keys_refused(fleet: ProcessFleet) -> list[str]:
+    """List the times in which keys were refused and could have been confirmed.
+
+    Excused are outages of the store, and starts, each and the bound on withdrawn keys
+    after it.
+    """
+    excused = [(row.from_s, row.to_s, "") for row in fleet.outages]
+    excused += [(row.exited_s, row.exited_s, row.instance) for row in fleet.stops]
+    return [
+        f"{row.instance} refused keys from {row.from_s:.2f} to {row.to_s:.2f} s"
+        for row in unconfirmed_times(fleet)
+        if not any(
+            instance in ("", row.instance)
+            and from_s <= row.from_s
+            and row.to_s <= to_s + REVOCATION_S
+            for from_s, to_s, instance in excused
+        )
+    ]
