Judge keys refused too early in an outage in the soak

Change: what was confirmed before an outage has to hold for a second of it, with bounds of 5 s and more.

--- a/tests/fleet_judges.py
+++ b/tests/fleet_judges.py
@@ -12,6 +12,9 @@
 MAX_LINE_GAP_S = 1.0
 # Time between a refusal and its log line, and the way to the caller.
 LINE_DELAY_S = 0.3
+# Least time for which keys hold that were confirmed before an outage: the bound on
+# withdrawn keys, less the age of a confirmation.
+CONFIRMED_S = 1.0
 
 
 @dataclass(slots=True)
@@ -179,10 +182,10 @@
 def sound_keys_refused(fleet: ProcessFleet) -> list[str]:
     """List the times in which keys were refused and could have been confirmed.
 
-    Excused are outages of the store, and starts, each and the bound on withdrawn keys
-    after it.
+    Excused are outages of the store, from when what was confirmed before no longer
+    holds, and starts, each and the bound on withdrawn keys after it.
     """
-    excused = [(row.from_s, row.to_s, "") for row in fleet.outages]
+    excused = [(row.from_s + CONFIRMED_S, row.to_s, "") for row in fleet.outages]
     excused += [(row.exited_s, row.exited_s, row.instance) for row in fleet.stops]
     return [
         f"{row.instance} refused keys from {row.from_s:.2f} to {row.to_s:.2f} s"
