--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -185,8 +185,7 @@
 @pytest.mark.parametrize("seed", [1, 2])
 def test_overlapping_stops_in_series_lose_nothing(seed: int, tmp_path: Path) -> None:
     result = asyncio.run(soak(seed, tmp_path, SOAK_S, n_instances=3, n_callers=30))
-    # Callers repeat refused requests at once: how many there are while the store is
-    # away depends on how fast they are refused.
+    assert result.n_answered > result.n_sent / 3, describe_machine()
     n_servable = result.n_sent - result.n_unconfirmed
     assert result.n_answered > n_servable / 2, describe_machine()
     assert result.n_stops >= 3
